--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Two commands on a fresh machine: `make demo` runs the main job, `make test`
 # passes the tests. Both fetch what they need through the package managers.
 
-MODULES := pkg cmd/laburnumbench cmd/laburnumpick cmd/laburnumpickd
+MODULES := pkg platform cmd/laburnumbench cmd/laburnumpick cmd/laburnumpickd
 TOOLS := $(CURDIR)/bin/tools
 GOFUMPT := $(TOOLS)/gofumpt
 GOLANGCI := $(TOOLS)/golangci-lint
--- a/cmd/laburnumbench/bench/demo.go
+++ b/cmd/laburnumbench/bench/demo.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"laburnumpick.org/pkg/fleetapi"
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/site"
 	"laburnumpick.org/pkg/standin"
+	"laburnumpick.org/pkg/store"
 	"laburnumpick.org/pkg/trial"
 )
 
@@ -140,9 +140,9 @@
 		}},
 		{10 * time.Second, "lagos: the platform's list shows payledger-7 as leaving", func(ctx context.Context) error {
 			d.leaves["payledger-7"] = time.Now()
-			return d.lagos.put(ctx, d.lagos.platform+"/control/vm", platform.VM{
+			return d.lagos.put(ctx, d.lagos.platform+"/control/vm", store.VM{
 				Name: "payledger-7", Address: d.lagos.servers.Servers["payledger-7"],
-				Role: platform.RoleBackend, State: platform.VMLeaving,
+				Role: store.RoleBackend, State: store.VMLeaving,
 			})
 		}},
 		{12 * time.Second, "tt-north: a request crashes each minutevault server that runs it; its caller resends it", d.crash},
--- a/cmd/laburnumbench/bench/overhead.go
+++ b/cmd/laburnumbench/bench/overhead.go
@@ -15,9 +15,9 @@
 	"time"
 
 	"laburnumpick.org/pkg/daemon"
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/settings"
 	"laburnumpick.org/pkg/site"
+	"laburnumpick.org/pkg/store"
 	"laburnumpick.org/pkg/telemetry"
 	"laburnumpick.org/pkg/trial"
 )
@@ -120,7 +120,7 @@
 	set.Listen = settings.Listen{Callers: "127.0.0.1:0", VMs: "127.0.0.1:0", Operators: "127.0.0.1:0"}
 	set.Access.FleetToken = "bench-fleet-token-0001"
 	set.Limits.Account = settings.Account{Rate: 1e6, Burst: 1_000_000, InFlight: 10_000}
-	store := platform.NewMemory()
+	store := store.NewMemory()
 	svc := &site.Service{
 		Name: "s", Site: "bench", Hosts: []string{"s"}, DeadlineMs: 5000,
 		Servers: []site.Server{
--- a/cmd/laburnumbench/bench/site.go
+++ b/cmd/laburnumbench/bench/site.go
@@ -16,9 +16,9 @@
 	"laburnumpick.org/pkg/entry"
 	"laburnumpick.org/pkg/fleetapi"
 	"laburnumpick.org/pkg/floor"
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/site"
 	"laburnumpick.org/pkg/standin"
+	"laburnumpick.org/pkg/store"
 	"laburnumpick.org/pkg/trial"
 )
 
@@ -85,9 +85,9 @@
 // of them.
 func (s *liveSite) setUp(ctx context.Context) error {
 	for i, vm := range s.vms {
-		err := s.put(ctx, s.platform+"/control/vm", platform.VM{
+		err := s.put(ctx, s.platform+"/control/vm", store.VM{
 			Name: vm.VM, Address: vm.VMs, DataCentre: string(s.plan.DataCentre(i)),
-			Role: platform.RoleEntry, State: platform.VMLive,
+			Role: store.RoleEntry, State: store.VMLive,
 		})
 		if err != nil {
 			return err
@@ -223,7 +223,7 @@
 
 // outOf reads a service's record of servers that are out.
 func (s *liveSite) outOf(ctx context.Context, svc *site.Service) (floor.Record, error) {
-	k := floor.NewKeeper(platform.NewClient(s.platform, http.DefaultTransport))
+	k := floor.NewKeeper(store.NewClient(s.platform, http.DefaultTransport))
 	r, _, err := k.Read(ctx, svc)
 	return r, err
 }
--- a/cmd/laburnumbench/bench/standins.go
+++ b/cmd/laburnumbench/bench/standins.go
@@ -7,9 +7,9 @@
 	"net/http"
 	"time"
 
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/site"
 	"laburnumpick.org/pkg/standin"
+	"laburnumpick.org/pkg/store"
 	"laburnumpick.org/pkg/trial"
 )
 
@@ -35,11 +35,11 @@
 
 // Run serves a platform in memory.
 func (c *platformCmd) Run() error {
-	store := platform.NewMemory()
+	store := store.NewMemory()
 	mux := http.NewServeMux()
-	mux.Handle("/", platform.NewHandler(store))
+	mux.Handle("/", store.NewHandler(store))
 	mux.HandleFunc("PUT /control/vm", func(w http.ResponseWriter, r *http.Request) {
-		var vm platform.VM
+		var vm store.VM
 		if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
@@ -70,16 +70,16 @@
 	return srv.Close()
 }
 
-func setFaults(store *platform.Memory, f platformFaults) {
+func setFaults(store *store.Memory, f platformFaults) {
 	store.SetDelay(time.Duration(f.DelayMs) * time.Millisecond)
-	store.SetFaults(func(op platform.Op) platform.Fault {
+	store.SetFaults(func(op store.Op) store.Fault {
 		switch {
 		case f.Away:
-			return platform.FaultAway
+			return store.FaultAway
 		case f.LostAnswer && op.Write:
-			return platform.FaultLostAnswer
+			return store.FaultLostAnswer
 		default:
-			return platform.FaultNone
+			return store.FaultNone
 		}
 	})
 }
--- a/cmd/laburnumpickd/main.go
+++ b/cmd/laburnumpickd/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -14,7 +15,9 @@
 
 	"laburnumpick.org/pkg/daemon"
 	"laburnumpick.org/pkg/settings"
+	"laburnumpick.org/pkg/site"
 	"laburnumpick.org/pkg/telemetry"
+	"laburnumpick.org/platform"
 )
 
 // Exit statuses.
@@ -77,9 +80,26 @@
 	if err := telemetry.SetVerbosity(set.Log.Verbosity); err != nil {
 		return err
 	}
-	d, err := daemon.New(set, daemon.TCP(), nil)
+	nw := daemon.TCP()
+	d, err := daemon.New(set, nw, platformOf(set, nw))
 	if err != nil {
 		return err
 	}
 	return d.Run(ctx)
 }
+
+// platformOf returns the platform that the settings name. The zero platform
+// stands for laburnumpick's own interface.
+func platformOf(set *settings.Settings, nw daemon.Network) daemon.Platform {
+	if set.Platform.Kind != settings.KindTables {
+		return daemon.Platform{}
+	}
+	cfg := platform.Config{
+		URL: set.Platform.URL, Site: site.Name(set.VM.Site), FloorShare: set.Platform.FloorShare,
+		Sureness: site.Sureness(set.Platform.Sureness), HTTP: &http.Client{Transport: daemon.NewTransport(nw)},
+	}
+	for _, dc := range set.Platform.DataCentres {
+		cfg.DataCentres = append(cfg.DataCentres, site.DataCentre(dc))
+	}
+	return platform.New(cfg)
+}
--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -3,6 +3,9 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -18,10 +21,11 @@
 	written int64 // Bytes of the present request that reached the socket.
 	reused  bool
 	idleAt  time.Time
+	keep    time.Duration // How long it may rest.
 }
 
 func newConn(nc net.Conn) *conn {
-	c := &conn{nc: nc}
+	c := &conn{nc: nc, keep: maxIdleTime}
 	c.r = bufio.NewReaderSize(nc, bufferSize)
 	c.w = bufio.NewWriterSize(countingWriter{c}, bufferSize)
 	return c
@@ -67,4 +71,21 @@
 	return err == nil && quiet
 }
 
+// keepShare is the share of the time that a peer tells of which is used, since
+// its clock started before ours.
+const keepShare = 0.6
+
+// keepFor takes in how long the peer keeps the connection open while it rests.
+func (c *conn) keepFor(h http.Header) {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		v, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if s, err := strconv.Atoi(v); err == nil && s >= 0 {
+			c.keep = min(maxIdleTime, time.Duration(keepShare*float64(s)*float64(time.Second)))
+		}
+	}
+}
+
 func (c *conn) close() { _ = c.nc.Close() }
--- a/pkg/backend/link.go
+++ b/pkg/backend/link.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -22,8 +23,8 @@
 // Bounds of the connections to one peer.
 const (
 	maxIdle     = 16
-	maxIdleTime = 20 * time.Second
-	dialTimeout = time.Second
+	maxIdleTime = 5 * time.Second // Where the peer does not tell.
+	dialTimeout = 500 * time.Millisecond
 )
 
 // Link holds the connections to one peer.
@@ -74,7 +75,7 @@
 		if c == nil {
 			break
 		}
-		if now.Sub(c.idleAt) < maxIdleTime && c.quiet() {
+		if now.Sub(c.idleAt) < c.keep && c.quiet() {
 			c.reused = true
 			return c, nil
 		}
@@ -115,3 +116,23 @@
 		old.close()
 	}
 }
+
+// Prune closes the connections that have rested too long, and reports whether
+// none is left.
+func (l *Link) Prune(now time.Time) bool {
+	l.mu.Lock()
+	var old []*conn
+	l.idle = slices.DeleteFunc(l.idle, func(c *conn) bool {
+		if now.Sub(c.idleAt) < c.keep {
+			return false
+		}
+		old = append(old, c)
+		return true
+	})
+	empty := len(l.idle) == 0
+	l.mu.Unlock()
+	for _, c := range old {
+		c.close()
+	}
+	return empty
+}
--- a/pkg/backend/send.go
+++ b/pkg/backend/send.go
@@ -28,6 +28,8 @@
 	RefusedShed  = "shed"
 	RefusedDrain = "drain"
 	RefusedCold  = "cold"
+	// RefusedMoved says that another server has the address.
+	RefusedMoved = "moved"
 )
 
 // Request is a request with its whole body.
@@ -46,6 +48,7 @@
 	Silence     time.Duration // Longest wait for a sign of life; zero for no bound.
 	KeptSilence time.Duration // The same on a kept connection, which may be dead.
 	MaxWhole    int           // Bytes of body up to which the answer is held back until whole.
+	Contract    Contract
 }
 
 // Answer is an answer whose head and, up to Options.MaxWhole, body are whole.
@@ -102,7 +105,7 @@
 	if err != nil {
 		return nil, &Error{Stage: NotSent, cause: err}
 	}
-	x := &exchange{link: l, conn: c, ctx: ctx, silence: o.Silence}
+	x := &exchange{link: l, conn: c, ctx: ctx, silence: o.Silence, contract: o.Contract}
 	if c.reused {
 		x.silence = o.KeptSilence
 	}
@@ -123,7 +126,9 @@
 	silence time.Duration
 	stop    func() bool
 	method  string
-	keep    bool // The connection can carry another request after this one.
+
+	contract Contract
+	keep     bool // The connection can carry another request after this one.
 }
 
 func (x *exchange) run(req *Request, maxWhole int) (*Answer, error) {
@@ -141,10 +146,15 @@
 	if echo := resp.Header.Get(HeaderRequestID); echo != "" && req.ID != "" && echo != req.ID {
 		return nil, x.fail(Broken, fmt.Errorf("answer to request %q came for %q", echo, req.ID))
 	}
-	if resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	unframed := resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if unframed && !x.contract.Unframed {
 		return nil, x.fail(Broken, errors.New("the answer has neither a length nor chunks"))
 	}
-	x.keep = !resp.Close && writeErr == nil
+	if err := x.contract.check(resp); err != nil {
+		return nil, x.fail(Broken, err)
+	}
+	x.keep = !resp.Close && !unframed && writeErr == nil
+	x.conn.keepFor(resp.Header)
 	return x.readBody(resp, maxWhole)
 }
 
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -10,8 +10,8 @@
 	"pgregory.net/rapid"
 
 	"laburnumpick.org/pkg/catalog"
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/site"
+	"laburnumpick.org/pkg/store"
 )
 
 var start = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
@@ -33,7 +33,7 @@
 	replica *catalog.Replica
 }
 
-func newDesk(s platform.Store) *desk { return &desk{catalog.NewLog(s, "north"), catalog.NewReplica()} }
+func newDesk(s store.Store) *desk { return &desk{catalog.NewLog(s, "north"), catalog.NewReplica()} }
 
 func (d *desk) write(t *testing.T, base catalog.Version, c catalog.Change) catalog.Verdict {
 	t.Helper()
@@ -48,7 +48,7 @@
 }
 
 func TestRaceForOneObject(t *testing.T) {
-	m := platform.NewMemory()
+	m := store.NewMemory()
 	a, b := newDesk(m), newDesk(m)
 	assertAccepted(t, a.write(t, 0, aChange(t, "c1", anAccount("x", 1))), 1)
 	v := b.write(t, 0, aChange(t, "c2", anAccount("x", 2)))
@@ -59,7 +59,7 @@
 }
 
 func TestRaceForTwoObjectsBothWin(t *testing.T) {
-	m := platform.NewMemory()
+	m := store.NewMemory()
 	a, b := newDesk(m), newDesk(m)
 	assertAccepted(t, a.write(t, 0, aChange(t, "c1", anAccount("x", 1))), 1)
 	assertAccepted(t, b.write(t, 0, aChange(t, "c2", anAccount("y", 2))), 2)
@@ -70,22 +70,22 @@
 func TestLostAnswers(t *testing.T) {
 	cases := []struct {
 		name   string
-		write  platform.Fault
-		read   platform.Fault // Of the read that settles the write.
+		write  store.Fault
+		read   store.Fault // Of the read that settles the write.
 		first  string
 		second catalog.Version
 	}{
-		{"away", platform.FaultAway, platform.FaultNone, "rejected", 1},
-		{"answer lost", platform.FaultLostAnswer, platform.FaultNone, "accepted", 1},
-		{"call lost", platform.FaultLostCall, platform.FaultNone, "unsure", 1},
-		{"answer lost, then away", platform.FaultLostAnswer, platform.FaultAway, "unsure", 1},
+		{"away", store.FaultAway, store.FaultNone, "rejected", 1},
+		{"answer lost", store.FaultLostAnswer, store.FaultNone, "accepted", 1},
+		{"call lost", store.FaultLostCall, store.FaultNone, "unsure", 1},
+		{"answer lost, then away", store.FaultLostAnswer, store.FaultAway, "unsure", 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			m := platform.NewMemory()
+			m := store.NewMemory()
 			d := newDesk(m)
 			wrote := false
-			m.SetFaults(func(op platform.Op) platform.Fault {
+			m.SetFaults(func(op store.Op) store.Fault {
 				if op.Write {
 					wrote = true
 					return c.write
@@ -93,7 +93,7 @@
 				if wrote {
 					return c.read
 				}
-				return platform.FaultNone
+				return store.FaultNone
 			})
 			ch := aChange(t, "c1", anAccount("x", 1))
 			var got string
@@ -106,7 +106,7 @@
 				got = "unsure"
 			}
 			assert.Equal(t, got, c.first)
-			m.SetFaults(func(platform.Op) platform.Fault { return platform.FaultNone })
+			m.SetFaults(func(store.Op) store.Fault { return store.FaultNone })
 			assertAccepted(t, d.write(t, 0, ch), c.second)
 			assertAccepted(t, newDesk(m).write(t, 0, ch), c.second)
 		})
@@ -114,7 +114,7 @@
 }
 
 func TestReplicaNeverGoesBack(t *testing.T) {
-	m := platform.NewMemory()
+	m := store.NewMemory()
 	d := newDesk(m)
 	for i := range 5 {
 		assertAccepted(t, d.write(t, catalog.Version(i), aChange(t, fmt.Sprint(i), anAccount("x", float64(i+1)))), catalog.Version(i+1))
@@ -141,7 +141,7 @@
 }
 
 func TestSnapshotReplacesALongLog(t *testing.T) {
-	m := platform.NewMemory()
+	m := store.NewMemory()
 	d := newDesk(m)
 	const n = 300
 	for i := range n {
--- a/pkg/catalog/change.go
+++ b/pkg/catalog/change.go
@@ -13,8 +13,8 @@
 	"fmt"
 	"time"
 
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/site"
+	"laburnumpick.org/pkg/store"
 )
 
 // Version counts the accepted changes of a site's configuration.
@@ -80,12 +80,12 @@
 }
 
 // rowKey orders the rows of a site's changes by version.
-func rowKey(s site.Name, v Version) platform.Key {
-	return platform.Key(fmt.Sprintf("%s%012d", rowPrefix(s), v))
+func rowKey(s site.Name, v Version) store.Key {
+	return store.Key(fmt.Sprintf("%s%012d", rowPrefix(s), v))
 }
 
-func rowPrefix(s site.Name) platform.Key {
-	return platform.Key("site/" + string(s) + "/change/")
+func rowPrefix(s site.Name) store.Key {
+	return store.Key("site/" + string(s) + "/change/")
 }
 
 func snapshotName(s site.Name) string { return "site/" + string(s) + "/snapshot" }
--- a/pkg/catalog/log.go
+++ b/pkg/catalog/log.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"time"
 
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/site"
+	"laburnumpick.org/pkg/store"
 )
 
 // Limits of reading and writing the log.
@@ -43,12 +43,12 @@
 
 // Log reads and writes a site's changes in the platform's table.
 type Log struct {
-	store platform.Store
+	store store.Store
 	site  site.Name
 }
 
 // NewLog returns the log of a site.
-func NewLog(s platform.Store, n site.Name) *Log { return &Log{store: s, site: n} }
+func NewLog(s store.Store, n site.Name) *Log { return &Log{store: s, site: n} }
 
 // Poll reads the changes after version v.
 func (l *Log) Poll(ctx context.Context, v Version) ([]Change, error) {
@@ -144,7 +144,7 @@
 		return Rejected{Reason: err.Error()}
 	}
 	_, err = l.store.Put(ctx, rowKey(l.site, c.Version), raw, 0)
-	if platform.Unknown.Has(err) {
+	if store.Unknown.Has(err) {
 		err = l.readBack(ctx, c)
 	}
 	switch {
@@ -154,9 +154,9 @@
 		}
 		l.snapshot(ctx, r, c.Version)
 		return Accepted{c.Version, []Change{c}}
-	case platform.Conflict.Has(err):
+	case store.Conflict.Has(err):
 		return nil
-	case platform.Unavailable.Has(err):
+	case store.Unavailable.Has(err):
 		return Rejected{Reason: "nothing was written: " + err.Error()}
 	default:
 		return Unsure{err.Error()}
@@ -167,18 +167,18 @@
 func (l *Log) readBack(ctx context.Context, c Change) error {
 	row, err := l.store.Get(ctx, rowKey(l.site, c.Version))
 	switch {
-	case platform.NotFound.Has(err):
+	case store.NotFound.Has(err):
 		// The lost write may still be on its way, so absence proves nothing.
-		return platform.Unknown.New("version %d is not in the table yet", c.Version)
+		return store.Unknown.New("version %d is not in the table yet", c.Version)
 	case err != nil:
-		return platform.Unknown.New("%v", err)
+		return store.Unknown.New("%v", err)
 	}
 	var got Change
 	if err := json.Unmarshal(row.Value, &got); err != nil {
-		return platform.Unknown.New("%v", err)
+		return store.Unknown.New("%v", err)
 	}
 	if got.Command != c.Command {
-		return platform.Conflict.New("version %d belongs to command %s", c.Version, got.Command)
+		return store.Conflict.New("version %d belongs to command %s", c.Version, got.Command)
 	}
 	return nil
 }
@@ -200,10 +200,19 @@
 	_ = l.store.PutObject(ctx, snapshotName(l.site), raw)
 }
 
+// Follow implements Source. It does not wait.
+func (l *Log) Follow(ctx context.Context, now time.Time, r *Replica, _ time.Duration) error {
+	if r.State().Version == 0 {
+		return l.Boot(ctx, now, r)
+	}
+	_, err := l.catchUp(ctx, now, r)
+	return err
+}
+
 // Boot brings an empty replica up from the object store and the table.
 func (l *Log) Boot(ctx context.Context, now time.Time, r *Replica) error {
 	raw, err := l.store.GetObject(ctx, snapshotName(l.site))
-	if err != nil && !platform.NotFound.Has(err) {
+	if err != nil && !store.NotFound.Has(err) {
 		return err
 	}
 	if err == nil {
--- a/pkg/catalog/replica.go
+++ b/pkg/catalog/replica.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"sync"
@@ -30,6 +31,13 @@
 	heard  Version    // The highest version that anybody told of.
 }
 
+// Source is where the accepted configuration is read.
+type Source interface {
+	// Follow brings a replica up to the newest version. It may wait for one
+	// where there is none.
+	Follow(ctx context.Context, now time.Time, r *Replica, wait time.Duration) error
+}
+
 // NewReplica returns a replica at version zero, without configuration.
 func NewReplica() *Replica {
 	r := &Replica{}
--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -11,7 +11,7 @@
 
 	"laburnumpick.org/pkg/claim"
 	"laburnumpick.org/pkg/outcome"
-	"laburnumpick.org/pkg/platform"
+	"laburnumpick.org/pkg/store"
 )
 
 var (
@@ -19,11 +19,11 @@
 	id    = claim.ID{Site: "north", Service: "votes", Account: "ann", Key: "k/1"}
 )
 
-func bid(attempt string, base platform.Revision) claim.Bid {
+func bid(attempt string, base store.Revision) claim.Bid {
 	return claim.Bid{ID: id, Attempt: claim.AttemptID(attempt), Digest: "d", Base: base, Until: start.Add(time.Second)}
 }
 
-func withLedger(m *platform.Memory, vm string) *claim.Ledger {
+func withLedger(m *store.Memory, vm string) *claim.Ledger {
 	return claim.NewLedger(m, claim.Holder{VM: vm, Address: vm + ":81"})
 }
 
@@ -31,40 +31,40 @@
 // be taken for.
 func TestEachBadAnswer(t *testing.T) {
 	ctx := context.Background()
-	writes := map[string]func(l *claim.Ledger, rev platform.Revision) claim.Answer{
-		"claim":  func(l *claim.Ledger, rev platform.Revision) claim.Answer { return l.Claim(ctx, start, bid("a", rev)) },
-		"forbid": func(l *claim.Ledger, rev platform.Revision) claim.Answer { return l.Forbid(ctx, start, bid("a", rev)) },
-		"release": func(l *claim.Ledger, rev platform.Revision) claim.Answer {
+	writes := map[string]func(l *claim.Ledger, rev store.Revision) claim.Answer{
+		"claim":  func(l *claim.Ledger, rev store.Revision) claim.Answer { return l.Claim(ctx, start, bid("a", rev)) },
+		"forbid": func(l *claim.Ledger, rev store.Revision) claim.Answer { return l.Forbid(ctx, start, bid("a", rev)) },
+		"release": func(l *claim.Ledger, rev store.Revision) claim.Answer {
 			return l.Release(ctx, start, bid("a", 0), rev)
 		},
-		"end": func(l *claim.Ledger, rev platform.Revision) claim.Answer {
+		"end": func(l *claim.Ledger, rev store.Revision) claim.Answer {
 			return l.End(ctx, start, bid("a", 0), rev, claim.Kept{Outcome: outcome.Answered, Status: 200})
 		},
 	}
 	cases := []struct {
 		name        string
-		write, read platform.Fault
+		write, read store.Fault
 		moved       bool // Another VM wrote first.
 		want        string
 	}{
-		{"good", platform.FaultNone, platform.FaultNone, false, "claim.Won"},
-		{"moved", platform.FaultNone, platform.FaultNone, true, "claim.Beaten"},
-		{"away", platform.FaultAway, platform.FaultNone, false, "claim.Away"},
-		{"answer lost, read back", platform.FaultLostAnswer, platform.FaultNone, false, "claim.Won"},
-		{"answer lost, moved", platform.FaultLostAnswer, platform.FaultNone, true, "claim.Beaten"},
-		{"answer lost, then away", platform.FaultLostAnswer, platform.FaultAway, false, "claim.Unsure"},
-		{"call lost", platform.FaultLostCall, platform.FaultNone, false, "claim.Unsure"},
+		{"good", store.FaultNone, store.FaultNone, false, "claim.Won"},
+		{"moved", store.FaultNone, store.FaultNone, true, "claim.Beaten"},
+		{"away", store.FaultAway, store.FaultNone, false, "claim.Away"},
+		{"answer lost, read back", store.FaultLostAnswer, store.FaultNone, false, "claim.Won"},
+		{"answer lost, moved", store.FaultLostAnswer, store.FaultNone, true, "claim.Beaten"},
+		{"answer lost, then away", store.FaultLostAnswer, store.FaultAway, false, "claim.Unsure"},
+		{"call lost", store.FaultLostCall, store.FaultNone, false, "claim.Unsure"},
 	}
 	for name, write := range writes {
 		for _, c := range cases {
 			t.Run(name+"/"+c.name, func(t *testing.T) {
-				m := platform.NewMemory()
+				m := store.NewMemory()
 				l := withLedger(m, "vm-1")
 				if c.moved {
 					won, ok := withLedger(m, "vm-2").Claim(ctx, start, bid("b", 0)).(claim.Won)
 					assert.Assert(t, ok && won.Revision == 1)
 				}
-				m.SetFaults(func(op platform.Op) platform.Fault {
+				m.SetFaults(func(op store.Op) store.Fault {
 					if op.Write {
 						return c.write
 					}
@@ -77,7 +77,7 @@
 }
 
 func TestLargeBodiesAreNotKept(t *testing.T) {
-	m := platform.NewMemory()
+	m := store.NewMemory()
 	l := withLedger(m, "vm-1")
 	ctx := context.Background()
 	for _, size := range []int{0, claim.MaxKeptBody, claim.MaxKeptBody + 1} {
@@ -93,7 +93,7 @@
 }
 
 func TestKeysOfAccountsAreApart(t *testing.T) {
-	m := platform.NewMemory()
+	m := store.NewMemory()
 	l := withLedger(m, "vm-1")
 	a, b := id, id
 	a.Account, a.Key = "ann", "bk"
@@ -108,8 +108,8 @@
 // claim at what was seen, send, end; or forbid, and tell "not run".
 type attempt struct {
 	name   string
-	base   platform.Revision
-	rev    platform.Revision
+	base   store.Revision
+	rev    store.Revision
 	at     int // The next step.
 	won    bool
 	told   string
@@ -124,7 +124,7 @@
 // begun by then.
 func TestInterleavings(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		m := platform.NewMemory()
+		m := store.NewMemory()
 		l := withLedger(m, "vm")
 		ctx := context.Background()
 		var all []*attempt
@@ -133,16 +133,16 @@
 		}
 		for tick := range rapid.IntRange(1, 25).Draw(rt, "ticks") {
 			a := all[rapid.IntRange(0, len(all)-1).Draw(rt, "attempt")]
-			write := platform.Fault(rapid.IntRange(0, 3).Draw(rt, "write fault"))
+			write := store.Fault(rapid.IntRange(0, 3).Draw(rt, "write fault"))
 			readAway := rapid.Bool().Draw(rt, "read away")
-			m.SetFaults(func(op platform.Op) platform.Fault {
+			m.SetFaults(func(op store.Op) store.Fault {
 				if op.Write {
 					return write
 				}
 				if readAway {
-					return platform.FaultAway
+					return store.FaultAway
 				}
-				return platform.FaultNone
+				return store.FaultNone
 			})
 			a.step(ctx, l, tick, rapid.Bool().Draw(rt, "gives up"))
 		}
--- a/pkg/claim/ledger.go
+++ b/pkg/claim/ledger.go
@@ -5,22 +5,22 @@
 	"encoding/json"
 	"time"
 
-	"laburnumpick.org/pkg/platform"
+	"laburnumpick.org/pkg/store"
 )
 
 // Ledger reads and writes keys' rows.
 type Ledger struct {
-	table  platform.Table
+	table  store.Table
 	holder Holder
 }
 
 // NewLedger returns a ledger that claims in the name of holder.
-func NewLedger(t platform.Table, h Holder) *Ledger { return &Ledger{t, h} }
+func NewLedger(t store.Table, h Holder) *Ledger { return &Ledger{t, h} }
 
-// Look reads a key's row. Errors: platform.Unavailable.
+// Look reads a key's row. Errors: store.Unavailable.
 func (l *Ledger) Look(ctx context.Context, id ID) (Sight, error) {
 	row, err := l.table.Get(ctx, id.row())
-	if platform.NotFound.Has(err) {
+	if store.NotFound.Has(err) {
 		return Free{}, nil
 	}
 	if err != nil {
@@ -34,15 +34,15 @@
 	ID      ID
 	Attempt AttemptID
 	Digest  Digest
-	Base    platform.Revision // What the attempt saw when it began.
-	Until   time.Time         // The last moment at which it may send.
+	Base    store.Revision // What the attempt saw when it began.
+	Until   time.Time      // The last moment at which it may send.
 }
 
 // Answer is Won, Beaten or Unsure.
 type Answer interface{ answer() }
 
 // Won means that the row is the bidder's.
-type Won struct{ Revision platform.Revision }
+type Won struct{ Revision store.Revision }
 
 // Beaten means that the row moved first; the bid will never take effect.
 type Beaten struct{}
@@ -74,14 +74,14 @@
 }
 
 // Release gives up a claim that was won at rev and of which nothing was sent.
-func (l *Ledger) Release(ctx context.Context, now time.Time, b Bid, rev platform.Revision) Answer {
+func (l *Ledger) Release(ctx context.Context, now time.Time, b Bid, rev store.Revision) Answer {
 	return l.write(ctx, b, rev, &record{
 		Phase: notRun, Attempt: b.Attempt, Digest: b.Digest, Holder: l.holder, At: now,
 	})
 }
 
 // End records how a claimed request ended.
-func (l *Ledger) End(ctx context.Context, now time.Time, b Bid, rev platform.Revision, k Kept) Answer {
+func (l *Ledger) End(ctx context.Context, now time.Time, b Bid, rev store.Revision, k Kept) Answer {
 	if len(k.Body) > MaxKeptBody {
 		k.Body, k.TooLong = nil, true
 	}
@@ -91,7 +91,7 @@
 }
 
 // write puts a record and settles a lost answer by reading the row back.
-func (l *Ledger) write(ctx context.Context, b Bid, expect platform.Revision, r *record) Answer {
+func (l *Ledger) write(ctx context.Context, b Bid, expect store.Revision, r *record) Answer {
 	raw, err := r.encode()
 	if err != nil {
 		return Away{err}
@@ -100,9 +100,9 @@
 	switch {
 	case err == nil:
 		return Won{rev}
-	case platform.Conflict.Has(err):
+	case store.Conflict.Has(err):
 		return Beaten{}
-	case platform.Unavailable.Has(err):
+	case store.Unavailable.Has(err):
 		return Away{err}
 	}
 	return l.readBack(ctx, b, expect, r, err)
@@ -110,7 +110,7 @@
 
 // readBack finds out whose row stands after a write without an answer. A row
 // still at the old revision proves nothing: the write may be on its way.
-func (l *Ledger) readBack(ctx context.Context, b Bid, expect platform.Revision, r *record, cause error) Answer {
+func (l *Ledger) readBack(ctx context.Context, b Bid, expect store.Revision, r *record, cause error) Answer {
 	row, err := l.table.Get(ctx, b.ID.row())
 	if err != nil || row.Revision <= expect {
 		return Unsure{cause}
--- a/pkg/claim/record.go
+++ b/pkg/claim/record.go
@@ -16,8 +16,8 @@
 	"time"
 
 	"laburnumpick.org/pkg/outcome"
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/site"
+	"laburnumpick.org/pkg/store"
 )
 
 // AttemptID names one try of one VM to run a request.
@@ -36,13 +36,13 @@
 
 // row returns the table's key. Callers' keys are hashed, since they may be
 // long and hold any character.
-func (id ID) row() platform.Key {
+func (id ID) row() store.Key {
 	h := sha256.New()
 	h.Write([]byte(id.Account))
 	h.Write([]byte{0})
 	h.Write([]byte(id.Key))
 	sum := hex.EncodeToString(h.Sum(nil)[:16])
-	return platform.Key("site/" + string(id.Site) + "/once/" + string(id.Service) + "/" + sum)
+	return store.Key("site/" + string(id.Site) + "/once/" + string(id.Service) + "/" + sum)
 }
 
 // phase is how far a claimed request is.
@@ -93,13 +93,13 @@
 // Free means that the key may be claimed at the revision, by attempts that
 // began after it was freed.
 type Free struct {
-	Revision platform.Revision
+	Revision store.Revision
 	At       time.Time // When it was freed, by the clock of the VM that did; zero for no row.
 }
 
 // Running means that an attempt claimed the key and has not ended it.
 type Running struct {
-	Revision platform.Revision
+	Revision store.Revision
 	Attempt  AttemptID
 	Digest   Digest
 	Holder   Holder
@@ -118,7 +118,7 @@
 func (Running) sight() {}
 func (Ended) sight()   {}
 
-func sightOf(row platform.Row) (Sight, error) {
+func sightOf(row store.Row) (Sight, error) {
 	var r record
 	if err := json.Unmarshal(row.Value, &r); err != nil {
 		return nil, err
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -18,20 +18,23 @@
 
 	"laburnumpick.org/pkg/account"
 	"laburnumpick.org/pkg/backend"
+	"laburnumpick.org/pkg/caller"
 	"laburnumpick.org/pkg/catalog"
 	"laburnumpick.org/pkg/claim"
+	"laburnumpick.org/pkg/dispatch"
 	"laburnumpick.org/pkg/entry"
 	"laburnumpick.org/pkg/fleet"
 	"laburnumpick.org/pkg/fleetapi"
 	"laburnumpick.org/pkg/home"
 	"laburnumpick.org/pkg/journal"
 	"laburnumpick.org/pkg/operator"
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/quarantine"
+	"laburnumpick.org/pkg/registry"
 	"laburnumpick.org/pkg/roster"
 	"laburnumpick.org/pkg/settings"
 	"laburnumpick.org/pkg/site"
+	"laburnumpick.org/pkg/store"
 	"laburnumpick.org/pkg/telemetry"
 )
 
@@ -64,12 +67,26 @@
 	}
 }
 
+// Platform is what a daemon stands on.
+type Platform struct {
+	Store store.Store
+	// Source is where the configuration is read; nil for the log of operators'
+	// changes in the store.
+	Source catalog.Source
+	// Servers is where registered servers are read, or nil where there are none.
+	Servers registry.Source
+	// Contract is what the backend servers speak.
+	Contract backend.Contract
+}
+
 // Addresses are those that a daemon serves.
 type Addresses struct {
 	VM        string `json:"vm"`
 	Callers   string `json:"callers"`
 	VMs       string `json:"vms"`
 	Operators string `json:"operators"`
+	Health    string `json:"health,omitempty"`
+	Metrics   string `json:"metrics,omitempty"`
 }
 
 // Daemon is one entry VM.
@@ -77,7 +94,10 @@
 	set        *settings.Settings
 	tel        *telemetry.Telemetry
 	replica    *catalog.Replica
+	registry   *registry.Book
 	home       *home.Home
+	dispatcher *dispatch.Dispatcher
+	callers    *caller.Server
 	node       *fleet.Node
 	entry      *entry.Entry
 	tree       *suture.Supervisor
@@ -88,58 +108,94 @@
 	once       sync.Once
 }
 
-// New listens on the settings' addresses and puts the parts together. store
-// may be nil for the one that the settings name.
-func New(set *settings.Settings, nw Network, store platform.Store) (*Daemon, error) {
-	listeners, err := listen(set, nw)
+// New listens on the settings' addresses and puts the parts together. The
+// store may be nil for the one that the settings name.
+func New(set *settings.Settings, nw Network, p Platform) (*Daemon, error) {
+	ls, err := listen(set, nw)
 	if err != nil {
 		return nil, err
 	}
 	d := &Daemon{
 		set: set, tel: telemetry.New(set.VM.Name, set.Trace.Share, set.Trace.Keep),
-		replica: catalog.NewReplica(), stopped: make(chan struct{}),
-		addr: Addresses{
-			VM: set.VM.Name, Callers: listeners[0].Addr().String(),
-			VMs: advertised(set, listeners[1]), Operators: listeners[2].Addr().String(),
-		},
+		replica: catalog.NewReplica(), registry: registry.NewBook(), stopped: make(chan struct{}),
+		addr: ls.addresses(set),
 	}
-	if store == nil {
-		store = d.storeOf(nw)
+	if p.Store == nil {
+		p.Store = d.storeOf(nw)
 	}
-	d.assemble(nw, store, listeners)
+	d.assemble(nw, p, ls)
 	return d, d.writeAddresses()
 }
 
+// listeners are the open listeners of a daemon. Health and metrics are nil
+// where the settings name no address for them.
+type listeners struct {
+	callers, vms, operators, health, metrics net.Listener
+}
+
+// addresses returns where the daemon is found.
+func (ls *listeners) addresses(set *settings.Settings) Addresses {
+	a := Addresses{
+		VM: set.VM.Name, Callers: ls.callers.Addr().String(),
+		VMs: advertised(set, ls.vms), Operators: ls.operators.Addr().String(),
+	}
+	if ls.health != nil {
+		a.Health = ls.health.Addr().String()
+	}
+	if ls.metrics != nil {
+		a.Metrics = ls.metrics.Addr().String()
+	}
+	return a
+}
+
 // listen opens all listeners or none.
-func listen(set *settings.Settings, nw Network) ([]net.Listener, error) {
-	var out []net.Listener
-	for _, address := range []string{set.Listen.Callers, set.Listen.VMs, set.Listen.Operators} {
-		l, err := nw.Listen(address)
+func listen(set *settings.Settings, nw Network) (*listeners, error) {
+	var ls listeners
+	var open []net.Listener
+	for _, w := range []struct {
+		address string
+		to      *net.Listener
+	}{
+		{set.Listen.Callers, &ls.callers}, {set.Listen.VMs, &ls.vms}, {set.Listen.Operators, &ls.operators},
+		{set.Listen.Health, &ls.health}, {set.Listen.Metrics, &ls.metrics},
+	} {
+		if w.address == "" {
+			continue
+		}
+		l, err := nw.Listen(w.address)
 		if err != nil {
-			for _, open := range out {
-				err = errors.Join(err, open.Close())
+			for _, o := range open {
+				err = errors.Join(err, o.Close())
 			}
-			return nil, fmt.Errorf("listen on %s: %w", address, err)
+			return nil, fmt.Errorf("listen on %s: %w", w.address, err)
 		}
-		out = append(out, l)
+		*w.to = l
+		open = append(open, l)
 	}
-	return out, nil
+	return &ls, nil
 }
 
-func (d *Daemon) storeOf(nw Network) platform.Store {
+func (d *Daemon) storeOf(nw Network) store.Store {
 	if d.set.Platform.URL == settings.Embedded {
-		return platform.NewMemory()
+		return store.NewMemory()
 	}
-	return platform.NewClient(d.set.Platform.URL, d.transport(nw))
+	return store.NewClient(d.set.Platform.URL, d.transport(nw))
 }
 
 // transport is for control calls only; callers' requests never use it.
 func (d *Daemon) transport(nw Network) *http.Transport {
+	t := NewTransport(nw)
+	d.transports = append(d.transports, t)
+	return t
+}
+
+// NewTransport returns a transport for control calls.
+func NewTransport(nw Network) *http.Transport {
 	dial := nw.Dial
 	if nw.DialControl != nil {
 		dial = nw.DialControl
 	}
-	t := &http.Transport{
+	return &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			// net/http goes on dialing after its call has ended.
 			ctx, cancel := context.WithTimeout(ctx, controlDial)
@@ -148,9 +204,8 @@
 		},
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
 	}
-	d.transports = append(d.transports, t)
-	return t
 }
 
 // advertised is the address that other VMs use.
@@ -166,66 +221,138 @@
 }
 
 // assemble makes the parts and the tree that supervises them.
-func (d *Daemon) assemble(nw Network, store platform.Store, ls []net.Listener) {
+func (d *Daemon) assemble(nw Network, p Platform, ls *listeners) {
 	set, now := d.set, time.Now()
 	self := roster.VM{
 		Name: roster.VMName(set.VM.Name), Address: d.addr.VMs, DataCentre: site.DataCentre(set.VM.DataCentre),
 	}
 	jr := journal.New(set.VM.Name, journalSize)
-	lg := catalog.NewLog(store, site.Name(set.VM.Site))
+	var lg *catalog.Log
+	if p.Source == nil {
+		lg = catalog.NewLog(p.Store, site.Name(set.VM.Site))
+		p.Source = lg
+	}
 	d.home = home.New(home.Config{
-		VM: set.VM.Name, Site: site.Name(set.VM.Site),
-		Holder: claim.Holder{VM: set.VM.Name, Address: d.addr.VMs},
-		Dial:   nw.Dial, Store: store, Replica: d.replica, Journal: jr,
-		Tracer: d.tel.Tracer, Scope: d.tel.Scope.SubScope("home"),
-		Compare:  func(id pool.ID) { d.node.CompareNow(context.Background(), id) },
-		Losses:   func(ctx context.Context, l quarantine.Loss) { d.node.SpreadLoss(ctx, l) },
-		Cleared:  func(r quarantine.Release) { d.node.SpreadRelease(r) },
-		MaxWhole: set.Limits.WholeAnswerBytes,
+		VM: set.VM.Name, Site: site.Name(set.VM.Site), Dial: nw.Dial, Store: p.Store,
+		Replica: d.replica, Registry: d.registry, Journal: jr, Scope: d.tel.Scope.SubScope("home"),
+		Retry:   pool.RetryLimits{Ratio: set.Retry.Ratio, Slack: set.Retry.Slack, Window: set.Retry.Window},
+		Losses:  func(l quarantine.Loss) { d.node.SpreadLoss(context.Background(), l) },
+		Cleared: func(r quarantine.Release) { d.node.SpreadRelease(r) },
 	})
-	d.node = fleet.NewNode(now, fleet.Config{
-		Self: self, Store: store, Log: lg, Replica: d.replica, Home: d.home, Journal: jr,
-		HTTP: &http.Client{Transport: d.transport(nw)}, Dial: nw.Dial, Token: set.Access.FleetToken,
-		Scope: d.tel.Scope.SubScope("fleet"), Rand: rand.New(rand.NewPCG(uint64(now.UnixNano()), 0)),
+	d.node = fleet.NewNode(now, d.nodeConfig(nw, p, self, jr))
+	d.dispatcher = dispatch.New(dispatch.Config{
+		Site: site.Name(set.VM.Site), DataCentre: self.DataCentre,
+		Holder: claim.Holder{VM: set.VM.Name, Address: d.addr.VMs}, Homes: d.node,
+		Dial: nw.Dial, Contract: p.Contract, Registry: d.registry, Store: p.Store, Journal: jr,
+		Tracer: d.tel.Tracer, Scope: d.tel.Scope.SubScope("dispatch"), MaxWhole: set.Limits.WholeAnswerBytes,
 	})
-	d.entry = entry.New(d.entryConfig(nw, self))
+	d.entry = entry.New(d.entryConfig(self))
 	console := operator.NewConsole(operator.Config{
-		Node: d.node, Home: d.home, Log: lg, Replica: d.replica, Store: store, Journal: jr, Stop: d.Stop,
+		Node: d.node, Home: d.home, Keyed: d.dispatcher, Log: lg, Replica: d.replica, Store: p.Store, Journal: jr,
+		Stop: d.Stop,
 	})
-	callers := newLimitListener(ls[0], set.Limits.Connections, set.Limits.ConnectionsFromOne)
+	d.serve(ls, console)
+}
+
+// serve makes the tree of services.
+func (d *Daemon) serve(ls *listeners, c *operator.Console) {
+	set := d.set
+	d.callers = caller.New(caller.Config{Handler: d.entry, Limits: d.callerLimits, Parallel: d.entry.Parallel})
+	callers := newLimitListener(ls.callers, set.Limits.Connections, set.Limits.ConnectionsFromOne)
 	d.servers = []*server{
-		newServer("callers", callers, d.entry, set),
-		newServer("vms", ls[1], d.vmHandler(), set),
-		newServer("operators", ls[2], d.operatorHandler(console), set),
+		newServer("vms", ls.vms, d.vmHandler(), set),
+		newServer("operators", ls.operators, d.operatorHandler(c), set),
+	}
+	if ls.health != nil {
+		d.servers = append(d.servers, newServer("health", ls.health, d.entry.Health(), set))
+	}
+	if ls.metrics != nil {
+		d.servers = append(d.servers, newServer("metrics", ls.metrics, d.tel.Metrics(), set))
 	}
 	d.tree = suture.New("laburnumpickd", suture.Spec{EventHook: logEvent})
 	control := suture.New("control", suture.Spec{EventHook: logEvent})
 	control.Add(d.home.Loop())
-	control.Add(d.home.Settler())
+	control.Add(d.dispatcher.Settler())
+	control.Add(&pruner{d.dispatcher})
 	for _, s := range d.node.Services() {
 		control.Add(s)
 	}
 	d.tree.Add(control)
 	traffic := suture.New("traffic", suture.Spec{EventHook: logEvent})
+	traffic.Add(&callerService{d.callers, callers})
 	for _, s := range d.servers {
 		traffic.Add(s)
 	}
 	d.tree.Add(traffic)
 }
 
-func (d *Daemon) entryConfig(nw Network, self roster.VM) entry.Config {
+func (d *Daemon) nodeConfig(nw Network, p Platform, self roster.VM, jr *journal.Journal) fleet.Config {
+	now := time.Now()
+	cfg := fleet.Config{
+		Self: self, Store: p.Store, Source: p.Source, Replica: d.replica, Home: d.home, Journal: jr,
+		HTTP: &http.Client{Transport: d.transport(nw)}, Dial: nw.Dial, Token: d.set.Access.FleetToken,
+		Scope: d.tel.Scope.SubScope("fleet"), Rand: rand.New(rand.NewPCG(uint64(now.UnixNano()), 0)),
+		Servers: p.Servers, Registry: d.registry, Keyed: keyed{d}, Alone: nw.Alone,
+		ListGap: listGap, ListReaders: listReaders,
+	}
+	if p.Servers != nil {
+		// The list holds entry VMs only, which find each other by pings.
+		cfg.ListGap, cfg.ListReaders = quietListGap, 1
+	}
+	return cfg
+}
+
+// Times and counts of reading the platform's list of VMs.
+const (
+	listGap      = time.Second
+	quietListGap = 10 * time.Second
+	listReaders  = 3
+)
+
+// keyed answers for the keyed requests that this VM runs.
+type keyed struct{ daemon *Daemon }
+
+// Await implements fleet.Keyed.
+func (k keyed) Await(ctx context.Context, id claim.ID, a claim.AttemptID, wait time.Duration) dispatch.Status {
+	return k.daemon.dispatcher.Await(ctx, id, a, wait)
+}
+
+// callerLimits returns what callers may send: what the configuration says, else
+// the settings.
+func (d *Daemon) callerLimits() caller.Limits {
 	lim := &d.set.Limits
-	nearest := make([]site.DataCentre, len(d.set.Nearest))
-	for i, dc := range d.set.Nearest {
-		nearest[i] = site.DataCentre(dc)
+	out := caller.Limits{
+		HeaderBytes: lim.HeaderBytes, BodyBytes: lim.BodyBytes, HeaderTime: lim.SlowCaller,
+		BodyTime: lim.SlowCaller, IdleTime: idleTime, WriteTime: lim.SlowCaller,
+	}
+	s := d.replica.State().Directory.Site()
+	if s == nil {
+		return out
 	}
+	c := s.Callers
+	if c.HeaderBytes > 0 {
+		out.HeaderBytes = c.HeaderBytes
+	}
+	if c.BodyBytes > 0 {
+		out.BodyBytes = c.BodyBytes
+	}
+	if c.HeaderMs > 0 {
+		out.HeaderTime = time.Duration(c.HeaderMs) * time.Millisecond
+	}
+	if c.IdleMs > 0 {
+		out.IdleTime = time.Duration(c.IdleMs) * time.Millisecond
+	}
+	return out
+}
+
+func (d *Daemon) entryConfig(self roster.VM) entry.Config {
+	lim := &d.set.Limits
 	return entry.Config{
-		Self: self, Site: site.Name(d.set.VM.Site), Nearest: nearest, Replica: d.replica,
-		View: d.viewOf(nw, self), Home: d.home, Holder: fleet.Holder{Node: d.node}, Dial: nw.Dial,
-		Token: d.set.Access.FleetToken, Tracer: d.tel.Tracer, Scope: d.tel.Scope.SubScope("entry"),
+		Self: self, Site: site.Name(d.set.VM.Site), Replica: d.replica,
+		Holder: fleet.Holder{Node: d.node}, Tracer: d.tel.Tracer, Scope: d.tel.Scope.SubScope("entry"),
+		Dispatcher: d.dispatcher, Ready: d.unready, FractionalRetry: d.set.Callers.FractionalRetryAfter,
 		Limits: entry.Limits{
-			MaxBody: lim.BodyBytes, MaxHeader: lim.HeaderBytes, MaxWhole: lim.WholeAnswerBytes, MaxRequests: lim.Requests,
-			VouchesPerSec: lim.VouchesPerSecond,
+			MaxRequests: lim.Requests, VouchesPerSec: lim.VouchesPerSecond,
 			DefaultAccount: account.Limits{
 				Rate: lim.Account.Rate, Burst: lim.Account.Burst, InFlight: lim.Account.InFlight,
 			},
@@ -233,26 +360,17 @@
 	}
 }
 
-// viewOf returns the view that entries find homes by.
-func (d *Daemon) viewOf(nw Network, self roster.VM) func() *roster.View {
-	if !nw.Alone {
-		return d.node.View
+// unready returns why this VM cannot serve callers, or "".
+func (d *Daemon) unready() string {
+	if !d.node.Known() {
+		return "no list of backend servers yet"
 	}
-	alone := roster.NewView([]roster.VM{self})
-	return func() *roster.View { return alone }
+	return ""
 }
 
-// vmHandler serves other VMs: twirp calls, and jobs for this home.
+// vmHandler serves other VMs.
 func (d *Daemon) vmHandler() http.Handler {
-	calls := fleetapi.NewFleetServer(d.node)
-	both := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(home.HeaderJob) != "" {
-			d.home.ServeHTTP(w, r)
-			return
-		}
-		calls.ServeHTTP(w, r)
-	})
-	return operator.GuardVMs(home.HeaderToken, d.set.Access.FleetToken, both)
+	return operator.GuardVMs(fleetapi.HeaderToken, d.set.Access.FleetToken, fleetapi.NewFleetServer(d.node.Server()))
 }
 
 // operatorHandler serves operators: twirp calls, metrics and spans.
@@ -317,30 +435,31 @@
 }
 
 // drain turns the health answer, waits out the balancer's lag, finishes what
-// is in flight and brings the ends of claims to the table.
+// is in flight and brings the ends of claims to the table. Until its end this VM
+// goes on deciding for the others that have not yet heard that it leaves.
 func (d *Daemon) drain() error {
-	klog.InfoS("daemon: stopping", "vm", d.addr.VM)
+	klog.InfoS("daemon: stopping", "vm", d.addr.VM, "inFlight", d.entry.InFlight())
+	stop := d.set.Stop.Times()
 	d.entry.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), d.set.Stop.BalancerLag+d.set.Stop.Patience)
+	ctx, cancel := context.WithTimeout(context.Background(), stop.LastAnswers+stop.Idle+stop.Rest)
 	defer cancel()
-	d.node.Leave(ctx)
+	go d.node.Leave(ctx)
+	time.Sleep(stop.LastAnswers)
+	d.callers.LastAnswers()
+	time.Sleep(stop.Idle)
+	errs := []error{d.callers.Shutdown(ctx)}
 	for _, s := range d.servers {
 		s.close()
-	}
-	time.Sleep(d.set.Stop.BalancerLag)
-	var errs []error
-	for _, s := range d.servers {
 		errs = append(errs, s.shutdown(ctx))
 	}
-	errs = append(errs, d.home.Flush(ctx))
-	klog.InfoS("daemon: stopped", "vm", d.addr.VM)
+	errs = append(errs, d.dispatcher.Flush(ctx))
+	klog.InfoS("daemon: stopped", "vm", d.addr.VM, "inFlight", d.entry.InFlight())
 	return errors.Join(errs...)
 }
 
 // idle closes the connections that rest.
 func (d *Daemon) idle() {
-	d.home.CloseIdle()
-	d.entry.CloseIdle()
+	d.dispatcher.CloseIdle()
 	for _, t := range d.transports {
 		t.CloseIdleConnections()
 	}
--- a/pkg/daemon/limit.go
+++ b/pkg/daemon/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -112,6 +113,14 @@
 	leave func()
 }
 
+// CloseWrite ends the sending, so that the caller can read to the end.
+func (c *limitedConn) CloseWrite() error {
+	if h, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return h.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
 	c.once.Do(c.leave)
--- a/pkg/daemon/server.go
+++ b/pkg/daemon/server.go
@@ -11,6 +11,9 @@
 	"github.com/thejerf/suture/v4"
 	"k8s.io/klog/v2"
 
+	"laburnumpick.org/pkg/caller"
+	"laburnumpick.org/pkg/control"
+	"laburnumpick.org/pkg/dispatch"
 	"laburnumpick.org/pkg/settings"
 )
 
@@ -70,3 +73,39 @@
 
 // shutdown lets requests in flight end.
 func (s *server) shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// callerService serves callers as a suture service.
+type callerService struct {
+	callers *caller.Server
+	l       net.Listener
+}
+
+// String names the service in logs.
+func (*callerService) String() string { return "server for callers" }
+
+// Serve implements suture.Service. It ends when Shutdown has closed the
+// listener.
+func (s *callerService) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.l.Close() })
+	defer stop()
+	if err := s.callers.Serve(s.l); err != nil {
+		return err
+	}
+	return suture.ErrDoNotRestart
+}
+
+// pruneGap is the rest between two looks for connections that rest too long.
+const pruneGap = 2 * time.Second
+
+// pruner closes the connections to servers that rest too long.
+type pruner struct{ dispatcher *dispatch.Dispatcher }
+
+// Serve implements suture.Service.
+func (p *pruner) Serve(ctx context.Context) error {
+	for {
+		if err := control.Sleep(ctx, pruneGap); err != nil {
+			return err
+		}
+		p.dispatcher.Prune(time.Now())
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/job.go
@@ -0,0 +1,59 @@
+// Package dispatch runs a caller's request on backend servers: it gets a slot
+// from the pool's home, sends the request itself, judges the answer and decides
+// whether another server may be tried.
+package dispatch
+
+import (
+	"time"
+
+	"laburnumpick.org/pkg/backend"
+	"laburnumpick.org/pkg/claim"
+	"laburnumpick.org/pkg/outcome"
+	"laburnumpick.org/pkg/quarantine"
+	"laburnumpick.org/pkg/site"
+	"laburnumpick.org/pkg/store"
+)
+
+// Once is what must be known to run a keyed request at most once.
+type Once struct {
+	Account site.AccountName
+	Key     string
+	Attempt claim.AttemptID
+	Digest  claim.Digest
+	Base    store.Revision
+}
+
+// Job is a caller's request with how it is to be served.
+type Job struct {
+	Match       site.Match
+	Account     site.AccountName
+	Target      time.Time // Until when an answer is in time; zero for no such time.
+	Fingerprint quarantine.Fingerprint
+	Once        *Once // For keyed requests.
+	Request     *backend.Request
+}
+
+// claimID names the job's key.
+func (j *Job) claimID(s site.Name) claim.ID {
+	return claim.ID{Site: s, Service: j.Match.Service, Account: j.Once.Account, Key: j.Once.Key}
+}
+
+// target tells people what the job asks for.
+func (j *Job) target() string { return j.Request.Method + " " + j.Request.URL.Path }
+
+// Result is what became of a job, beside the answer itself.
+type Result struct {
+	Failure *outcome.Failure // Nil where answered.
+	Server  site.ServerName  // The last one tried.
+	Tries   int
+	Failed  []site.ServerName // Servers that the job was sent to in vain.
+	// Fenced means that the key's claim was won and given up, so that "not run"
+	// is true of the key. Base is the revision to go on from.
+	Fenced bool
+	Base   store.Revision
+	// Beaten means that the key's row moved before the claim.
+	Beaten bool
+}
+
+// fail fills the result from a failure.
+func (r *Result) fail(f *outcome.Failure) { r.Failure = f }
--- a/pkg/home/once.go
+++ b/pkg/dispatch/once.go
@@ -1,4 +1,4 @@
-package home
+package dispatch
 
 import (
 	"context"
@@ -17,60 +17,60 @@
 
 // runOnce sends a job to at most one server's handler. It goes on to another
 // server only when the one before is known not to have run it.
-func (h *Home) runOnce(ctx context.Context, j *Job, res *Result) *backend.Answer {
+func (d *Dispatcher) runOnce(ctx context.Context, j *Job, res *Result) *backend.Answer {
 	deadline, _ := ctx.Deadline()
 	var claimed *run
-	for res.Tries < maxTries {
-		g, refused := h.acquire(ctx, j, res.Failed, deadline)
+	for {
+		s, refused := d.acquire(ctx, j, res)
 		if refused != nil {
-			h.refusedTry(ctx, res, refused)
+			refusedTry(ctx, res, refused)
 			break
 		}
 		if j.Once != nil && claimed == nil {
-			if claimed = h.claim(ctx, j, res, deadline); claimed == nil {
-				h.release(j.Pool(), g, pool.Dropped{})
+			if claimed = d.claim(ctx, j, res, deadline); claimed == nil {
+				d.release(j, s, pool.Dropped{})
 				return nil
 			}
 		}
 		// A VM that was paused since the claim must not send late.
 		if ctx.Err() != nil || !time.Now().Before(deadline) {
-			h.release(j.Pool(), g, pool.Dropped{})
+			d.release(j, s, pool.Dropped{})
 			res.fail(outcome.New(outcome.DeadlinePassed, "the deadline passed before anything was sent"))
 			break
 		}
-		t := h.send(ctx, j, g, sendOptions{fresh: true, patient: true})
-		h.finish(j, res, t)
+		t := d.send(ctx, j, s, sendOptions{fresh: true, patient: true})
+		d.finish(ctx, j, res, t)
 		if t.answer != nil {
-			res.Kind = ""
-			h.endAnswered(claimed, t.answer)
+			res.Failure = nil
+			d.endAnswered(claimed, t.answer)
 			return t.answer
 		}
 		f := t.failure()
 		res.fail(f)
 		if !t.notRun() {
-			h.endUnknown(claimed, f)
+			d.endUnknown(claimed, f)
 			return nil
 		}
 	}
-	h.giveUp(ctx, claimed, res)
+	d.giveUp(ctx, claimed, res)
 	return nil
 }
 
 // claim claims the job's key. It returns nil where the job must not be sent,
 // with the result filled.
-func (h *Home) claim(ctx context.Context, j *Job, res *Result, deadline time.Time) *run {
-	ctx, span := h.cfg.Tracer.Start(ctx, "claim")
+func (d *Dispatcher) claim(ctx context.Context, j *Job, res *Result, deadline time.Time) *run {
+	ctx, span := d.cfg.Tracer.Start(ctx, "claim")
 	defer span.End()
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	b := claim.Bid{
-		ID: j.claimID(h.cfg.Site), Attempt: j.Once.Attempt, Digest: j.Once.Digest,
+		ID: j.claimID(d.cfg.Site), Attempt: j.Once.Attempt, Digest: j.Once.Digest,
 		Base: j.Once.Base, Until: deadline,
 	}
-	h.cfg.Scope.Counter("claims").Inc(1)
-	switch a := h.ledger.Claim(ctx, time.Now(), b).(type) {
+	d.cfg.Scope.Counter("claims").Inc(1)
+	switch a := d.ledger.Claim(ctx, time.Now(), b).(type) {
 	case claim.Won:
-		return h.runs.begin(b, a.Revision)
+		return d.runs.begin(b, a.Revision)
 	case claim.Beaten:
 		res.Beaten = true
 		res.fail(outcome.New(outcome.InProgress, "another request with the same key came first"))
@@ -78,7 +78,7 @@
 		res.fail(outcome.New(outcome.StoreAway, "the key could not be claimed: %v", a.Cause))
 	case claim.Unsure:
 		// The claim may land, so it has to be taken back; nothing was sent.
-		h.runs.end(h.runs.begin(b, 0), nil)
+		d.runs.end(d.runs.begin(b, 0), nil)
 		res.fail(outcome.New(outcome.StoreAway, "the key's claim got no answer: %v", a.Cause))
 	}
 	return nil
@@ -86,23 +86,23 @@
 
 // giveUp releases a claim of which nothing was sent. Only once the table has
 // it is "not run" true of the key.
-func (h *Home) giveUp(ctx context.Context, x *run, res *Result) {
+func (d *Dispatcher) giveUp(ctx context.Context, x *run, res *Result) {
 	if x == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
 	defer cancel()
-	if a, won := h.ledger.Release(ctx, time.Now(), x.bid, x.rev).(claim.Won); won {
+	if a, won := d.ledger.Release(ctx, time.Now(), x.bid, x.rev).(claim.Won); won {
 		close(x.done)
-		h.runs.drop(x)
+		d.runs.drop(x)
 		res.Fenced, res.Base = true, a.Revision
 		return
 	}
-	h.runs.end(x, nil)
+	d.runs.end(x, nil)
 }
 
 // endAnswered keeps an answer for resends. A body that streams is not kept.
-func (h *Home) endAnswered(x *run, a *backend.Answer) {
+func (d *Dispatcher) endAnswered(x *run, a *backend.Answer) {
 	if x == nil {
 		return
 	}
@@ -112,14 +112,14 @@
 	if a.Rest != nil || len(k.Body) > claim.MaxKeptBody {
 		k.Body, k.TooLong = nil, true
 	}
-	h.runs.end(x, &k)
+	d.runs.end(x, &k)
 }
 
-func (h *Home) endUnknown(x *run, f *outcome.Failure) {
+func (d *Dispatcher) endUnknown(x *run, f *outcome.Failure) {
 	if x == nil {
 		return
 	}
-	h.runs.end(x, &claim.Kept{Outcome: f.Outcome(), Kind: f.Kind, Detail: f.Detail()})
+	d.runs.end(x, &claim.Kept{Outcome: f.Outcome(), Kind: f.Kind, Detail: f.Detail()})
 }
 
 // keptHeader copies the lines of an answer's header that resends get.
@@ -133,5 +133,5 @@
 	return out
 }
 
-// Ledger gives entries the same view of claims that this home has.
-func (h *Home) Ledger() *claim.Ledger { return h.ledger }
+// Ledger gives entries the same view of claims that the dispatcher has.
+func (d *Dispatcher) Ledger() *claim.Ledger { return d.ledger }
--- /dev/null
+++ b/pkg/dispatch/run.go
@@ -0,0 +1,317 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"k8s.io/klog/v2"
+
+	"laburnumpick.org/pkg/backend"
+	"laburnumpick.org/pkg/home"
+	"laburnumpick.org/pkg/outcome"
+	"laburnumpick.org/pkg/pool"
+	"laburnumpick.org/pkg/site"
+)
+
+// reachTimeout bounds the look whether a server that cut a connection is down.
+const reachTimeout = 300 * time.Millisecond
+
+// try is one sending of a job to one server.
+type try struct {
+	seat    Seat
+	grant   pool.Granted
+	answer  *backend.Answer
+	refusal pool.Refusal // Set where the server refused before its handler.
+	err     *backend.Error
+	report  pool.Report
+}
+
+// notRun reports whether the try is known not to have run.
+func (t *try) notRun() bool {
+	return t.refusal != "" || (t.err != nil && t.err.Stage == backend.NotSent)
+}
+
+// Run runs a job. The answer is nil where the result has a failure. The context
+// must carry the job's deadline.
+func (d *Dispatcher) Run(ctx context.Context, j *Job) (*backend.Answer, *Result) {
+	ctx, span := d.cfg.Tracer.Start(ctx, "dispatch", trace.WithAttributes(
+		attribute.String("service", string(j.Match.Service)), attribute.String("requestId", j.Request.ID)))
+	defer span.End()
+	res := &Result{}
+	var a *backend.Answer
+	if j.Match.Run == site.Repeatable {
+		a = d.runRepeatable(ctx, j, res)
+	} else {
+		a = d.runOnce(ctx, j, res)
+	}
+	if res.Failure != nil {
+		span.SetStatus(codes.Error, string(res.Failure.Kind))
+	}
+	return a, res
+}
+
+// runRepeatable tries servers one after the other within the retry budget.
+func (d *Dispatcher) runRepeatable(ctx context.Context, j *Job, res *Result) *backend.Answer {
+	for {
+		s, refused := d.acquire(ctx, j, res)
+		if refused != nil {
+			refusedTry(ctx, res, refused)
+			return nil
+		}
+		t := d.send(ctx, j, s, sendOptions{patient: !s.Grant().More})
+		d.finish(ctx, j, res, t)
+		if t.answer != nil && (!retryAnswer(t) || ctx.Err() != nil) {
+			res.Failure = nil
+			return t.answer
+		}
+		if t.answer != nil {
+			if a := d.better(ctx, j, res, t); a != nil {
+				return a
+			}
+			return t.answer
+		}
+		res.fail(t.failure())
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+}
+
+// retryAnswer reports whether an answer tells of a failure that another server
+// may not have.
+func retryAnswer(t *try) bool {
+	return t.answer.Status >= http.StatusInternalServerError && t.answer.Rest == nil && t.grant.More
+}
+
+// better tries other servers for a repeatable request whose server answered
+// with a failure. It returns nil where none did better: then that answer stands.
+func (d *Dispatcher) better(ctx context.Context, j *Job, res *Result, first *try) *backend.Answer {
+	res.fail(outcome.New(outcome.AnswerBroken, "server %s answered with status %d", first.grant.Server.Name, first.answer.Status))
+	a := d.runRepeatable(ctx, j, res)
+	res.Failure = nil
+	if a == nil || a.Status >= http.StatusInternalServerError {
+		return nil
+	}
+	return a
+}
+
+// acquire gets a slot for a job.
+func (d *Dispatcher) acquire(ctx context.Context, j *Job, res *Result) (Seat, *pool.Refused) {
+	now := time.Now()
+	a := &home.Ask{
+		RequestID: j.Request.ID, Service: j.Match.Service, DataCentre: d.cfg.DataCentre, Account: j.Account,
+		Class: j.Match.Run, Rule: j.Match.Rule, Priority: j.Match.Priority, Fingerprint: j.Fingerprint,
+		Exclude: append(slices.Clone(res.Failed), d.shun.at(now)...), Sends: res.Tries, Attempts: j.Match.Attempts,
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		a.Left = deadline.Sub(now)
+	}
+	if !j.Target.IsZero() {
+		a.TargetLeft = j.Target.Sub(now)
+	}
+	s, refused := d.cfg.Homes.Acquire(ctx, a)
+	if refused != nil {
+		return nil, refused
+	}
+	if d.departed(s.Grant().Server) {
+		// The home has not heard yet what this VM has.
+		d.release(j, s, pool.Declined{Why: pool.Drain})
+		return d.acquireOther(ctx, j, res, s.Grant().Server.Name)
+	}
+	return s, nil
+}
+
+// acquireOther asks again without a server that must get no request.
+func (d *Dispatcher) acquireOther(ctx context.Context, j *Job, res *Result, n site.ServerName) (Seat, *pool.Refused) {
+	if slices.Contains(res.Failed, n) {
+		return nil, &pool.Refused{Kind: outcome.NoServer, Detail: "the home grants servers that leave", RetryAfter: time.Second}
+	}
+	res.Failed = append(slices.Clip(res.Failed), n)
+	return d.acquire(ctx, j, res)
+}
+
+// departed reports whether this VM knows that a server leaves, has gone or has
+// started anew.
+func (d *Dispatcher) departed(s site.Server) bool {
+	if s.StartedMs == 0 {
+		return false // It is not of those that register themselves.
+	}
+	l, ok := d.cfg.Registry.State().Server(s.Name)
+	return !ok || l.Draining || l.Server.StartedMs > s.StartedMs || l.Server.Address != s.Address
+}
+
+// release gives a slot back.
+func (d *Dispatcher) release(j *Job, s Seat, r pool.Report) {
+	s.Release(home.Ended{
+		Service: j.Match.Service, Grant: s.Grant().ID, Report: r, Fingerprint: j.Fingerprint, Request: j.target(),
+	})
+}
+
+// refusedTry fills the result where the pool gave no slot. An earlier failed
+// try is the better account of what happened, unless nothing ran in it.
+func refusedTry(ctx context.Context, res *Result, r *pool.Refused) {
+	if res.Failure != nil && res.Failure.Outcome() != outcome.NotRun {
+		return
+	}
+	kind, detail := r.Kind, r.Detail
+	if errors.Is(ctx.Err(), context.Canceled) {
+		kind, detail = outcome.Canceled, "the caller went away"
+	}
+	res.fail(outcome.New(kind, "%s", detail).After(r.RetryAfter))
+}
+
+// finish gives the slot back, unless an answer still streams, and notes the
+// try in the result.
+func (d *Dispatcher) finish(ctx context.Context, j *Job, res *Result, t *try) {
+	if t.err == nil || t.err.Stage != backend.NotSent {
+		res.Tries++
+	}
+	res.Server = t.grant.Server.Name
+	if t.answer == nil || retryAnswer(t) {
+		res.Failed = append(slices.Clip(res.Failed), t.grant.Server.Name)
+	}
+	if t.answer != nil && t.answer.Rest != nil {
+		t.answer.Rest = &slotReader{ReadCloser: t.answer.Rest, done: func(err error) {
+			if err != nil && ctx.Err() == nil {
+				t.report = pool.Failed{Rule: j.Match.Rule, Detail: "answer cut short: " + err.Error()}
+			}
+			d.release(j, t.seat, t.report)
+		}}
+		return
+	}
+	d.release(j, t.seat, t.report)
+}
+
+// sendOptions steer one try.
+type sendOptions struct {
+	fresh   bool // At-most-once requests use a new connection.
+	patient bool // There is no other try, so wait until the deadline.
+}
+
+// send sends a job to the granted server and judges the answer.
+func (d *Dispatcher) send(ctx context.Context, j *Job, s Seat, o sendOptions) *try {
+	g := s.Grant()
+	ctx, span := d.cfg.Tracer.Start(ctx, "server", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("server", string(g.Server.Name))))
+	defer span.End()
+	link := d.link(g.Server.Address)
+	opts := backend.Options{Fresh: o.fresh, MaxWhole: d.cfg.MaxWhole, Contract: d.cfg.Contract}
+	if !o.patient {
+		opts.Silence, opts.KeptSilence = g.Patience, g.Patience
+	}
+	req := d.request(ctx, j, g.Server)
+	start := time.Now()
+	a, err := link.Send(ctx, req, opts)
+	t := &try{seat: s, grant: g, answer: a}
+	t.err, _ = errors.AsType[*backend.Error](err)
+	if t.err != nil && t.err.Silent && t.err.Reused {
+		link.Flush() // The kept connections may be at fault.
+	}
+	d.judge(ctx, j, t, time.Since(start))
+	if t.err != nil {
+		span.SetStatus(codes.Error, t.err.Error())
+	}
+	klog.V(2).InfoS("dispatch: sent", "id", j.Request.ID, "server", g.Server.Name, "took", time.Since(start), "err", err)
+	return t
+}
+
+// request builds the request for a server.
+func (d *Dispatcher) request(ctx context.Context, j *Job, s site.Server) *backend.Request {
+	r := *j.Request
+	r.Header = r.Header.Clone()
+	r.Header.Set(backend.HeaderRequestID, j.Request.ID)
+	if deadline, ok := ctx.Deadline(); ok {
+		r.Header.Set(backend.HeaderDeadlineMs, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
+	}
+	if s.StartedMs != 0 && d.cfg.Contract.HeaderExpect != "" {
+		r.Header.Set(d.cfg.Contract.HeaderExpect, string(s.Name))
+	}
+	if span := trace.SpanContextFromContext(ctx); span.IsSampled() {
+		propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(r.Header))
+	}
+	return &r
+}
+
+// judge turns the end of a try into evidence.
+func (d *Dispatcher) judge(ctx context.Context, j *Job, t *try, took time.Duration) {
+	rule := j.Match.Rule
+	if t.err == nil {
+		d.judgeAnswer(j, t, took)
+		return
+	}
+	if t.err.Stage == backend.NotSent || t.err.Silent {
+		if ctx.Err() == nil {
+			d.shun.add(time.Now(), t.grant.Server.Name)
+		}
+	}
+	switch {
+	case ctx.Err() != nil:
+		t.report = pool.Dropped{Rule: rule, Took: took}
+	case t.err.Stage == backend.NotSent:
+		t.report = pool.Unreached{Detail: t.err.Error()}
+	case t.err.Stage == backend.Sent && !t.err.Silent && d.wentDown(ctx, t.grant.Server):
+		t.report = pool.Unreached{Crashed: true}
+	case t.err.Stage == backend.Sent && t.err.Reused && !t.err.Silent:
+		// A kept connection that ends while a request crosses it was most
+		// likely closed for idleness.
+		t.report = pool.Dropped{}
+	default:
+		t.report = pool.Failed{Rule: rule, Took: took, Detail: t.err.Error()}
+	}
+}
+
+func (d *Dispatcher) judgeAnswer(j *Job, t *try, took time.Duration) {
+	a := t.answer
+	if why, refused := d.cfg.Contract.Refusal(a); refused {
+		t.refusal = pool.Refusal(why)
+		t.report = pool.Declined{Why: t.refusal}
+		t.answer = nil
+		if a.Rest != nil {
+			_ = a.Rest.Close() // Nothing of it is of use.
+		}
+		return
+	}
+	if a.Status >= http.StatusInternalServerError {
+		t.report = pool.Failed{Rule: j.Match.Rule, Took: took, Detail: fmt.Sprintf("status %d", a.Status)}
+		return
+	}
+	t.report = pool.Served{Rule: j.Match.Rule, Took: took}
+}
+
+// wentDown reports whether a server that cut a connection refuses new ones.
+func (d *Dispatcher) wentDown(ctx context.Context, s site.Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	err := d.link(s.Address).Reach(ctx)
+	return err != nil && ctx.Err() == nil
+}
+
+// failure says what a try that has no answer means for the caller.
+func (t *try) failure() *outcome.Failure {
+	n := t.grant.Server.Name
+	switch {
+	case t.refusal != "":
+		return outcome.New(outcome.Overload, "server %s refused: %s", n, t.refusal)
+	case t.err.Stage == backend.NotSent && errors.Is(t.err, context.Canceled):
+		return outcome.New(outcome.Canceled, "the caller went away")
+	case t.err.Stage == backend.NotSent && errors.Is(t.err, context.DeadlineExceeded):
+		return outcome.New(outcome.DeadlinePassed, "the deadline passed before anything was sent")
+	case t.err.Stage == backend.NotSent:
+		return outcome.New(outcome.NoServer, "server %s: %v", n, t.err)
+	case t.err.Stage == backend.Broken:
+		return outcome.New(outcome.AnswerBroken, "server %s: %v", n, t.err)
+	case t.err.Silent || errors.Is(t.err, context.DeadlineExceeded):
+		return outcome.New(outcome.ServerSilent, "server %s gave no answer in time", n)
+	default:
+		return outcome.New(outcome.ServerLost, "server %s: %v", n, t.err)
+	}
+}
--- a/pkg/home/runs.go
+++ b/pkg/dispatch/runs.go
@@ -1,4 +1,4 @@
-package home
+package dispatch
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"laburnumpick.org/pkg/claim"
 	"laburnumpick.org/pkg/control"
 	"laburnumpick.org/pkg/journal"
-	"laburnumpick.org/pkg/platform"
+	"laburnumpick.org/pkg/store"
 )
 
 // Bounds of the ends that wait for the table.
@@ -20,12 +20,13 @@
 	settleFirst   = 20 * time.Millisecond
 	settleMaxGap  = 10 * time.Second
 	settleTimeout = 2 * time.Second
+	flushGap      = 50 * time.Millisecond // Between two looks whether all is settled.
 )
 
 // run is a claimed request from its claim until the table holds its end.
 type run struct {
 	bid  claim.Bid
-	rev  platform.Revision // Zero where the claim's write is unsure.
+	rev  store.Revision // Zero where the claim's write is unsure.
 	done chan struct{}
 	kept *claim.Kept // Nil where nothing was sent. Set before done closes.
 }
@@ -49,7 +50,7 @@
 }
 
 // begin notes a claimed request.
-func (r *runs) begin(b claim.Bid, rev platform.Revision) *run {
+func (r *runs) begin(b claim.Bid, rev store.Revision) *run {
 	x := &run{bid: b, rev: rev, done: make(chan struct{})}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -203,13 +204,13 @@
 	Kept  *claim.Kept // Nil where it ended without being sent.
 }
 
-// Await waits up to d for the end of a keyed request that this VM runs.
-func (h *Home) Await(ctx context.Context, id claim.ID, a claim.AttemptID, d time.Duration) Status {
-	x := h.runs.find(id)
+// Await waits up to wait for the end of a keyed request that this VM runs.
+func (d *Dispatcher) Await(ctx context.Context, id claim.ID, a claim.AttemptID, wait time.Duration) Status {
+	x := d.runs.find(id)
 	if x == nil || x.bid.Attempt != a {
 		return Status{}
 	}
-	ctx, cancel := context.WithTimeout(ctx, d)
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	select {
 	case <-x.done:
@@ -221,11 +222,11 @@
 
 // Flush waits until the table holds the end of every claim, or the context
 // ends. It reports how many it still lacks.
-func (h *Home) Flush(ctx context.Context) error {
-	t := control.NewTicker(tick)
+func (d *Dispatcher) Flush(ctx context.Context) error {
+	t := control.NewTicker(flushGap)
 	defer t.Stop()
 	for {
-		n := h.runs.pending()
+		n := d.runs.pending()
 		if n == 0 {
 			return nil
 		}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -4,13 +4,13 @@
 
 import (
 	"context"
-	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -23,9 +23,10 @@
 
 	"laburnumpick.org/pkg/account"
 	"laburnumpick.org/pkg/backend"
+	"laburnumpick.org/pkg/caller"
 	"laburnumpick.org/pkg/catalog"
 	"laburnumpick.org/pkg/claim"
-	"laburnumpick.org/pkg/home"
+	"laburnumpick.org/pkg/dispatch"
 	"laburnumpick.org/pkg/outcome"
 	"laburnumpick.org/pkg/quarantine"
 	"laburnumpick.org/pkg/roster"
@@ -54,14 +55,11 @@
 type Holder interface {
 	// Outcome waits up to wait for the end. An error means that the VM gave no
 	// answer.
-	Outcome(ctx context.Context, h claim.Holder, id claim.ID, a claim.AttemptID, wait time.Duration) (home.Status, error)
+	Outcome(ctx context.Context, h claim.Holder, id claim.ID, a claim.AttemptID, wait time.Duration) (dispatch.Status, error)
 }
 
 // Limits bound what one VM takes.
 type Limits struct {
-	MaxBody        int64 // Bytes of a request's body.
-	MaxHeader      int   // Bytes of a request's header.
-	MaxWhole       int   // Bytes of an answer that are held back until whole.
 	MaxRequests    int64 // Requests at once.
 	VouchesPerSec  float64
 	DefaultAccount account.Limits
@@ -71,16 +69,17 @@
 type Config struct {
 	Self    roster.VM
 	Site    site.Name
-	Nearest []site.DataCentre // The other data centres, the nearest first.
 	Replica *catalog.Replica
-	View    func() *roster.View
-	Home    *home.Home
 	Holder  Holder
-	Dial    backend.Dialer
-	Token   string // Shown to other VMs.
 	Limits  Limits
 	Tracer  trace.Tracer
 	Scope   tally.Scope
+
+	Dispatcher *dispatch.Dispatcher
+	// Ready returns why this VM cannot serve callers, or "".
+	Ready func() string
+	// FractionalRetry writes Retry-After with fractions of a second.
+	FractionalRetry bool
 }
 
 // Entry is the handler for callers.
@@ -88,20 +87,13 @@
 	cfg      Config
 	limiter  *account.Limiter
 	vouches  *account.Limiter
-	gray     *grayList
 	inFlight atomic.Int64
 	stopping atomic.Bool
-
-	mu    sync.Mutex // Guards links.
-	links map[string]*backend.Link
 }
 
 // New returns an entry.
 func New(cfg Config) *Entry {
-	return &Entry{
-		cfg: cfg, limiter: account.NewLimiter(), vouches: account.NewLimiter(),
-		gray: newGrayList(), links: make(map[string]*backend.Link),
-	}
+	return &Entry{cfg: cfg, limiter: account.NewLimiter(), vouches: account.NewLimiter()}
 }
 
 // Stop turns the health answer, so that the balancer sends no new callers.
@@ -110,27 +102,6 @@
 // InFlight returns how many callers' requests run.
 func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
 
-// CloseIdle closes the connections that rest.
-func (e *Entry) CloseIdle() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, l := range e.links {
-		l.Flush()
-	}
-}
-
-// link returns the connections to another VM.
-func (e *Entry) link(address string) *backend.Link {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	l, ok := e.links[address]
-	if !ok {
-		l = backend.NewLink(address, e.cfg.Dial)
-		e.links[address] = l
-	}
-	return l
-}
-
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
@@ -145,32 +116,43 @@
 
 // serveHealth answers the balancer.
 func (e *Entry) serveHealth(w http.ResponseWriter) {
+	if why := e.Unready(); why != "" {
+		http.Error(w, why, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+// Unready returns why this VM should get no new callers, or "".
+func (e *Entry) Unready() string {
 	switch {
 	case e.stopping.Load():
-		http.Error(w, "stopping", http.StatusServiceUnavailable)
+		return "stopping"
 	case e.cfg.Replica.State().Version == 0:
-		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+		return "no configuration yet"
 	default:
-		_, _ = io.WriteString(w, "ok\n")
+		return e.cfg.Ready()
 	}
 }
 
+// Health returns a handler that answers the balancer on any path.
+func (e *Entry) Health() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { e.serveHealth(w) })
+}
+
 // exchange is one caller's request on its way.
 type exchange struct {
 	entry   *Entry
 	w       http.ResponseWriter
 	id      string
 	site    site.Name
-	service *site.Service
-	rule    *site.Rule
+	match   site.Match
 	account site.AccountName
 	key     string
 	first   bool // The caller says that the key is new.
 	request *backend.Request
 	print   quarantine.Fingerprint
 	began   time.Time
-	tries   int // Hops to homes.
-	failed  []site.ServerName
 }
 
 // askAt returns where the outcome of the exchange's key can be asked.
@@ -178,7 +160,7 @@
 	if x.key == "" {
 		return ""
 	}
-	q := url.Values{"service": {string(x.service.Name)}, "key": {x.key}}
+	q := url.Values{"service": {string(x.match.Service)}, "key": {x.key}}
 	return PathOutcome + "?" + q.Encode()
 }
 
@@ -187,7 +169,7 @@
 	ctx, span := e.cfg.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	start := time.Now()
-	x := &exchange{entry: e, w: w, id: uuid.NewString(), site: e.cfg.Site, began: start}
+	x := &exchange{entry: e, w: w, id: requestID(r), site: e.cfg.Site, began: came(r, start)}
 	span.SetAttributes(attribute.String("requestId", x.id), attribute.String("path", r.URL.Path))
 	f := x.take(ctx, r)
 	kind := "answered"
@@ -201,13 +183,40 @@
 	scope.Timer("requestTime").Record(time.Since(start))
 }
 
+// maxRequestID is the longest id of a request that is taken from its caller, in
+// bytes.
+const maxRequestID = 128
+
+// requestID returns the caller's id of a request, or a new one.
+func requestID(r *http.Request) string {
+	if id := r.Header.Get(backend.HeaderRequestID); id != "" && len(id) <= maxRequestID {
+		return id
+	}
+	return uuid.NewString()
+}
+
+// came returns when a request had come, where the listener tells.
+func came(r *http.Request, now time.Time) time.Time {
+	if at, ok := caller.Came(r.Context()); ok {
+		return at
+	}
+	return now
+}
+
+// Parallel reports whether a request may run beside another one of its
+// connection that has not been answered: it may be repeated.
+func (e *Entry) Parallel(r *http.Request) bool {
+	m, ok := e.cfg.Replica.State().Directory.Match(r.Host, r.Method, r.URL.Path, 0)
+	return ok && m.Run == site.Repeatable
+}
+
 // refuse answers without a backend server's answer. A keyed request that did
 // not run may be claimed again only once the clocks of all VMs have passed.
 func (x *exchange) refuse(f *outcome.Failure) {
 	if x.key != "" && f.Outcome() == outcome.NotRun && f.ComeBack() > 0 {
 		f.RetryAfter = max(f.ComeBack(), 2*maxSkew)
 	}
-	outcome.Write(x.w, f, x.id, x.askAt())
+	outcome.Write(x.w, f, x.id, x.askAt(), x.entry.cfg.FractionalRetry)
 }
 
 // take bounds, reads and runs a request. It returns nil once an answer has
@@ -235,53 +244,51 @@
 	if x.key != "" {
 		return x.runKeyed(ctx)
 	}
-	a, f := x.run(ctx)
-	if f != nil {
-		return f
+	a, res := e.cfg.Dispatcher.Run(ctx, x.job(nil))
+	if a == nil {
+		return res.Failure
 	}
 	x.write(a)
 	return nil
 }
 
+// job returns the request as the dispatcher runs it. once is nil for requests
+// without a key.
+func (x *exchange) job(once *dispatch.Once) *dispatch.Job {
+	j := &dispatch.Job{
+		Match: x.match, Account: x.account, Fingerprint: x.print, Once: once, Request: x.request,
+	}
+	if x.match.Target > 0 {
+		j.Target = x.began.Add(x.match.Target)
+	}
+	return j
+}
+
 // route finds the service, the rule and the key.
 func (x *exchange) route(r *http.Request) *outcome.Failure {
 	st := x.entry.cfg.Replica.State()
 	if st.Version == 0 {
 		return outcome.New(outcome.CatalogNotReady, "this VM has no configuration yet")
 	}
-	x.service, x.rule = st.Directory.Route(r.Host, r.Method, r.URL.Path)
-	if x.service == nil {
-		return outcome.New(outcome.NoSuchService, "no service has the host %q", r.Host)
-	}
-	if n := headerBytes(r.Header); n > x.entry.cfg.Limits.MaxHeader {
-		return outcome.New(outcome.HeaderTooLarge, "the header has %d bytes, more than %d", n, x.entry.cfg.Limits.MaxHeader)
+	var ok bool
+	x.match, ok = st.Directory.Match(r.Host, r.Method, r.URL.Path, rand.Float64())
+	if !ok {
+		return outcome.New(outcome.NoSuchService, "nothing serves %q on host %q", r.URL.Path, r.Host)
 	}
 	if r.Header.Get("Upgrade") != "" {
 		return outcome.New(outcome.Malformed, "protocol upgrades are not served")
 	}
 	x.account = accountOf(r)
 	x.first = r.Header.Get(HeaderFirstAttempt) == "true"
-	if x.rule.Run == site.AtMostOnce && x.rule.KeyHeader != "" {
-		x.key = r.Header.Get(x.rule.KeyHeader)
-		if x.key == "" && x.rule.KeyRequired {
-			return outcome.New(outcome.KeyMissing, "rule %s asks for the header %s", x.rule.Name, x.rule.KeyHeader)
+	if x.match.Run == site.AtMostOnce && x.match.KeyHeader != "" {
+		x.key = r.Header.Get(x.match.KeyHeader)
+		if x.key == "" && x.match.KeyRequired {
+			return outcome.New(outcome.KeyMissing, "rule %s asks for the header %s", x.match.Rule, x.match.KeyHeader)
 		}
 	}
 	return nil
 }
 
-// headerBytes counts a header's bytes as they are sent.
-func headerBytes(h http.Header) int {
-	const colonAndEnd = 4
-	n := 0
-	for name, values := range h {
-		for _, v := range values {
-			n += len(name) + len(v) + colonAndEnd
-		}
-	}
-	return n
-}
-
 // accountOf returns the declared account, or one for the caller's address.
 func accountOf(r *http.Request) site.AccountName {
 	if a := r.Header.Get(HeaderAccount); a != "" {
@@ -301,51 +308,56 @@
 	return e.cfg.Limits.DefaultAccount
 }
 
-// deadline returns the shorter of the service's and the caller's deadline.
+// deadline returns the shorter of the route's and the caller's deadline, less
+// what has passed since the request came.
 func (x *exchange) deadline(r *http.Request) time.Duration {
-	d := x.service.Deadline()
+	d := x.match.Timeout
 	ms, err := strconv.ParseInt(r.Header.Get(HeaderDeadlineMs), 10, 64)
 	if err == nil && ms > 0 && ms < d.Milliseconds() {
 		d = time.Duration(ms) * time.Millisecond
 	}
-	return d
+	return d - time.Since(x.began)
 }
 
-// readBody reads the whole body, so that nothing is sent of a request whose
-// caller goes away half-way.
+// readBody takes the body, which the callers' server has read whole.
 func (x *exchange) readBody(r *http.Request) *outcome.Failure {
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, x.entry.cfg.Limits.MaxBody))
+	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		if _, large := errors.AsType[*http.MaxBytesError](err); large {
-			return outcome.New(outcome.BodyTooLarge, "the body has more than %d bytes", x.entry.cfg.Limits.MaxBody)
-		}
 		return outcome.New(outcome.Malformed, "the body could not be read: %v", err)
 	}
 	h := make(http.Header, len(r.Header))
-	home.CopyHeader(h, r.Header)
+	dispatch.CopyHeader(h, r.Header)
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = nil // Keeps net/http from naming itself.
 	}
 	x.request = &backend.Request{
-		Method: r.Method, URL: &url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery},
+		Method: r.Method, URL: target(r),
 		Host: r.Host, Header: h, Body: body, ID: x.id,
 	}
-	x.print = quarantine.NewFingerprint(x.service.Name, r.Method, x.request.URL.RequestURI(), body)
+	x.print = quarantine.NewFingerprint(x.match.Service, r.Method, x.request.URL.RequestURI(), body)
 	return nil
 }
 
+// target returns a request's target as its caller wrote it.
+func target(r *http.Request) *url.URL {
+	u := &url.URL{Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
+	if u.RequestURI() == r.RequestURI || !strings.HasPrefix(r.RequestURI, "/") || strings.HasPrefix(r.RequestURI, "//") {
+		return u
+	}
+	return &url.URL{Opaque: r.RequestURI, Path: r.URL.Path}
+}
+
 // write passes a whole answer on to the caller.
 func (x *exchange) write(a *backend.Answer) {
 	h := x.w.Header()
-	home.CopyAnswerHeader(h, a)
-	h.Del(home.HeaderResult)
+	dispatch.CopyAnswerHeader(h, a)
 	h.Set(outcome.HeaderOutcome, string(outcome.Answered))
 	h.Set(outcome.HeaderRequestID, x.id)
 	if at := x.askAt(); at != "" {
 		h.Set(outcome.HeaderAskAt, at)
 	}
 	x.w.WriteHeader(a.Status)
-	if err := home.WriteBody(x.w, a); err != nil {
+	if err := dispatch.WriteBody(x.w, a); err != nil {
 		panic(http.ErrAbortHandler) // A body that is cut short must look so.
 	}
 }
--- a/pkg/entry/keyed.go
+++ b/pkg/entry/keyed.go
@@ -12,10 +12,10 @@
 	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/claim"
 	"laburnumpick.org/pkg/control"
-	"laburnumpick.org/pkg/home"
+	"laburnumpick.org/pkg/dispatch"
 	"laburnumpick.org/pkg/outcome"
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/site"
+	"laburnumpick.org/pkg/store"
 )
 
 // Constants of keyed requests.
@@ -39,12 +39,9 @@
 func (x *exchange) runKeyed(ctx context.Context) *outcome.Failure {
 	f, end := x.runFree(ctx, 0)
 	for range maxRounds {
-		switch e := end.(type) {
+		switch end.(type) {
 		case settled:
 			return f
-		case reclaimed:
-			f, end = x.runFree(ctx, e.revision)
-			continue
 		case moved:
 		}
 		free, g := x.follow(ctx)
@@ -59,33 +56,28 @@
 	return outcome.New(outcome.InProgress, "other attempts with the same key keep coming first")
 }
 
-// ending is how a try to run a key's request ended: settled, reclaimed or moved.
+// ending is how a try to run a key's request ended: settled or moved.
 type ending interface{ ending() }
 
 // settled means that the caller can be answered.
 type settled struct{}
 
-// reclaimed means that this exchange itself raised the key's revision, so that
-// the home that had the request cannot run it any more.
-type reclaimed struct{ revision platform.Revision }
-
 // moved means that another attempt moved the key's row.
 type moved struct{}
 
-func (settled) ending()   {}
-func (reclaimed) ending() {}
-func (moved) ending()     {}
+func (settled) ending() {}
+func (moved) ending()   {}
 
 func (x *exchange) look(ctx context.Context) (claim.Sight, error) {
 	ctx, span := x.entry.cfg.Tracer.Start(ctx, "look")
 	defer span.End()
 	ctx, cancel := context.WithTimeout(ctx, vouchTime)
 	defer cancel()
-	return x.entry.cfg.Home.Ledger().Look(ctx, x.claimID())
+	return x.entry.cfg.Dispatcher.Ledger().Look(ctx, x.claimID())
 }
 
 func (x *exchange) claimID() claim.ID {
-	return claim.ID{Site: x.site, Service: x.service.Name, Account: x.keyAccount(), Key: x.key}
+	return claim.ID{Site: x.site, Service: x.match.Service, Account: x.keyAccount(), Key: x.key}
 }
 
 // keyAccount is the account that a key belongs to. Undeclared callers share
@@ -112,17 +104,17 @@
 }
 
 // runFree runs the request of a key that may be claimed at the revision.
-func (x *exchange) runFree(ctx context.Context, base platform.Revision) (*outcome.Failure, ending) {
-	once := &home.Once{
+func (x *exchange) runFree(ctx context.Context, base store.Revision) (*outcome.Failure, ending) {
+	once := &dispatch.Once{
 		Account: x.keyAccount(), Key: x.key, Attempt: claim.AttemptID(uuid.NewString()),
 		Digest: x.digest(), Base: base,
 	}
-	a, res := x.deliver(ctx, once)
+	a, res := x.entry.cfg.Dispatcher.Run(ctx, x.job(once))
 	if a != nil {
 		x.write(a)
 		return nil, settled{}
 	}
-	f := res.Failure()
+	f := res.Failure
 	switch {
 	case res.Beaten:
 		return nil, moved{}
@@ -130,8 +122,6 @@
 		return f, settled{}
 	case f.Outcome() == outcome.NotRun:
 		return x.vouch(ctx, once, f)
-	case f.Kind == outcome.HopLost:
-		return x.settleHop(ctx, once, f)
 	default:
 		return f, settled{}
 	}
@@ -139,7 +129,7 @@
 
 // vouch makes "not run" true of the key before the caller is told so: no
 // attempt that began before may claim it any more.
-func (x *exchange) vouch(ctx context.Context, once *home.Once, f *outcome.Failure) (*outcome.Failure, ending) {
+func (x *exchange) vouch(ctx context.Context, once *dispatch.Once, f *outcome.Failure) (*outcome.Failure, ending) {
 	if x.first {
 		return f, settled{} // No earlier attempt exists, and this one has ended.
 	}
@@ -164,32 +154,12 @@
 	return g.After(f.ComeBack())
 }
 
-// settleHop finds out what a home did that went silent with the request. If
-// the key can be forbidden, the home cannot have sent it and never will, and
-// another home may run it.
-func (x *exchange) settleHop(ctx context.Context, once *home.Once, f *outcome.Failure) (*outcome.Failure, ending) {
-	switch a := x.forbid(ctx, once).(type) {
-	case claim.Won:
-		if ctx.Err() == nil {
-			return nil, reclaimed{a.Revision}
-		}
-		return outcome.New(outcome.DeadlinePassed, "the deadline passed before the request was sent"), settled{}
-	case claim.Beaten:
-		if ctx.Err() == nil {
-			return nil, moved{} // The row shows what the home did.
-		}
-		return f, settled{}
-	default:
-		return f, settled{}
-	}
-}
-
-func (x *exchange) forbid(ctx context.Context, once *home.Once) claim.Answer {
+func (x *exchange) forbid(ctx context.Context, once *dispatch.Once) claim.Answer {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), vouchTime)
 	defer cancel()
 	b := claim.Bid{ID: x.claimID(), Attempt: once.Attempt, Digest: once.Digest, Base: once.Base}
 	x.entry.cfg.Scope.Counter("vouches").Inc(1)
-	return x.entry.cfg.Home.Ledger().Forbid(ctx, time.Now(), b)
+	return x.entry.cfg.Dispatcher.Ledger().Forbid(ctx, time.Now(), b)
 }
 
 // vouched answers a keyed request that is refused before its key was looked
@@ -210,7 +180,7 @@
 	if !ok {
 		return outcome.New(outcome.InProgress, "an earlier request with this key has run or runs").After(f.ComeBack())
 	}
-	g, end := x.vouch(ctx, &home.Once{Attempt: claim.AttemptID(uuid.NewString()), Base: free.Revision}, f)
+	g, end := x.vouch(ctx, &dispatch.Once{Attempt: claim.AttemptID(uuid.NewString()), Base: free.Revision}, f)
 	if _, again := end.(moved); again {
 		return x.unvouched(f, outcome.New(outcome.InProgress, "another attempt came first"))
 	}
@@ -255,9 +225,9 @@
 
 // supersede answers an attempt whose key was freed since it began: another
 // caller may have been told "not run", so this attempt must not run.
-func (x *exchange) supersede(ctx context.Context, base platform.Revision) *outcome.Failure {
+func (x *exchange) supersede(ctx context.Context, base store.Revision) *outcome.Failure {
 	f := outcome.New(outcome.Superseded, "another attempt with the same key was given up meanwhile")
-	once := &home.Once{Attempt: claim.AttemptID(uuid.NewString()), Base: base}
+	once := &dispatch.Once{Attempt: claim.AttemptID(uuid.NewString()), Base: base}
 	g, end := x.vouch(ctx, once, f)
 	if _, again := end.(moved); again {
 		return outcome.New(outcome.InProgress, "another attempt with the same key came first")
@@ -284,14 +254,14 @@
 }
 
 // ask asks the holder of a claim for its end.
-func (x *exchange) ask(ctx context.Context, s claim.Running) (home.Status, error) {
+func (x *exchange) ask(ctx context.Context, s claim.Running) (dispatch.Status, error) {
 	e := x.entry
 	wait := maxHold
 	if d, ok := ctx.Deadline(); ok {
 		wait = min(wait, time.Until(d)*9/10)
 	}
 	if s.Holder.VM == string(e.cfg.Self.Name) {
-		return e.cfg.Home.Await(ctx, x.claimID(), s.Attempt, wait), nil
+		return e.cfg.Dispatcher.Await(ctx, x.claimID(), s.Attempt, wait), nil
 	}
 	return e.cfg.Holder.Outcome(ctx, s.Holder, x.claimID(), s.Attempt, wait)
 }
@@ -328,14 +298,14 @@
 	x := &exchange{entry: e, w: w, id: uuid.NewString(), site: e.cfg.Site, account: accountOf(r), key: q.Get("key")}
 	if svc == nil || x.key == "" {
 		x.key = ""
-		outcome.Write(w, outcome.New(outcome.Malformed, "give the query a known service and a key"), x.id, "")
+		outcome.Write(w, outcome.New(outcome.Malformed, "give the query a known service and a key"), x.id, "", e.cfg.FractionalRetry)
 		return
 	}
-	x.service = svc
+	x.match.Service = svc.Name
 	rep, err := x.report(r.Context())
 	if err != nil {
 		f := outcome.New(outcome.EarlierUnsure, "the key could not be looked up: %v", err)
-		outcome.Write(w, f, x.id, x.askAt())
+		outcome.Write(w, f, x.id, x.askAt(), e.cfg.FractionalRetry)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -373,7 +343,7 @@
 	if !x.entry.mayVouch(time.Now()) {
 		return &KeyReport{Outcome: outcome.Unknown, Detail: "too many questions at once; ask again"}, nil
 	}
-	once := &home.Once{Attempt: claim.AttemptID(uuid.NewString()), Base: free.Revision}
+	once := &dispatch.Once{Attempt: claim.AttemptID(uuid.NewString()), Base: free.Revision}
 	if _, won := x.forbid(ctx, once).(claim.Won); !won {
 		return &KeyReport{Outcome: outcome.Unknown, Running: true, Detail: "an attempt may be on its way"}, nil
 	}
--- /dev/null
+++ b/pkg/fleet/homes.go
@@ -0,0 +1,215 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"laburnumpick.org/pkg/dispatch"
+	"laburnumpick.org/pkg/fleetapi"
+	"laburnumpick.org/pkg/home"
+	"laburnumpick.org/pkg/outcome"
+	"laburnumpick.org/pkg/pool"
+	"laburnumpick.org/pkg/roster"
+	"laburnumpick.org/pkg/site"
+)
+
+// Times of calls to homes.
+const (
+	// askTime bounds a call that is answered at once. It covers a round trip
+	// between data centres and a home that is short of processor time.
+	askTime = 250 * time.Millisecond
+	// waitTime bounds a call that may wait for a slot.
+	waitTime    = 500 * time.Millisecond
+	releaseTime = time.Second
+	grayPenalty = 2 * time.Second // How long a home that failed comes last.
+	standIns    = 3               // VMs that are tried as a pool's home.
+)
+
+// grayList remembers VMs that did not answer as homes lately.
+type grayList struct {
+	mu    sync.Mutex
+	until map[roster.VMName]time.Time
+}
+
+func newGrayList() *grayList { return &grayList{until: make(map[roster.VMName]time.Time)} }
+
+func (g *grayList) add(now time.Time, n roster.VMName) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.until[n] = now.Add(grayPenalty)
+}
+
+func (g *grayList) has(now time.Time, n roster.VMName) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	until, ok := g.until[n]
+	if ok && !now.Before(until) {
+		delete(g.until, n)
+		return false
+	}
+	return ok
+}
+
+// homes returns the VMs to ask as a pool's home, the first choice first. One
+// that failed lately is left out, and this VM comes last: it can always decide
+// for itself.
+func (n *Node) homes(now time.Time, svc site.ServiceName) []roster.VM {
+	if n.cfg.Alone {
+		return []roster.VM{n.cfg.Self}
+	}
+	ranked := n.View().Homes(string(svc))
+	vms := make([]roster.VM, 0, standIns+1)
+	for _, vm := range ranked {
+		if len(vms) < standIns && !n.gray.has(now, vm.Name) {
+			vms = append(vms, vm)
+		}
+	}
+	if !slices.ContainsFunc(vms, func(vm roster.VM) bool { return vm.Name == n.cfg.Self.Name }) {
+		vms = append(vms, n.cfg.Self)
+	}
+	return vms
+}
+
+// Acquire implements dispatch.Homes.
+func (n *Node) Acquire(ctx context.Context, a *home.Ask) (dispatch.Seat, *pool.Refused) {
+	var last *pool.Refused
+	for _, vm := range n.homes(time.Now(), a.Service) {
+		d, err := n.acquireFrom(ctx, vm, a)
+		switch d := d.(type) {
+		case pool.Granted:
+			return &seat{n, vm, d}, nil
+		case pool.Refused:
+			last = &d
+		}
+		if ctx.Err() != nil {
+			return nil, &pool.Refused{Kind: outcome.DeadlinePassed, Detail: "the deadline passed before a server was free", RetryAfter: minBack}
+		}
+		if err == nil && last.Kind != outcome.NoServer {
+			return nil, last
+		}
+		// A home that has just started may know no server yet; another one may.
+		if err != nil {
+			n.note(vm, err)
+		}
+	}
+	return nil, last
+}
+
+// minBack is when a caller may come back whose deadline has passed.
+const minBack = 50 * time.Millisecond
+
+// note puts a home that did not answer last for a while.
+func (n *Node) note(vm roster.VM, err error) {
+	n.cfg.Scope.Counter("homesLost").Inc(1)
+	klog.InfoS("fleet: home did not answer", "vm", vm.Name, "err", err)
+	n.gray.add(time.Now(), vm.Name)
+}
+
+// acquireFrom asks one VM and follows a wait to its end.
+func (n *Node) acquireFrom(ctx context.Context, vm roster.VM, a *home.Ask) (pool.Decision, error) {
+	ask := *a
+	ask.Ticket = 0
+	deadline, bounded := ctx.Deadline()
+	for {
+		if bounded {
+			ask.Left = time.Until(deadline)
+		}
+		d, err := n.askOnce(ctx, vm, &ask)
+		w, waits := d.(pool.Waiting)
+		if waits {
+			ask.Ticket = w.Ticket
+		}
+		if err == nil && waits && ctx.Err() == nil {
+			continue
+		}
+		if ask.Ticket != 0 && (err != nil || waits) {
+			n.forget(vm, a.Service, ask.Ticket)
+		}
+		if waits {
+			return nil, ctx.Err()
+		}
+		return d, err
+	}
+}
+
+// askOnce makes one call to a home, which may be this VM.
+func (n *Node) askOnce(ctx context.Context, vm roster.VM, a *home.Ask) (pool.Decision, error) {
+	if vm.Name == n.cfg.Self.Name {
+		return n.cfg.Home.Acquire(ctx, a), nil
+	}
+	limit := askTime
+	if a.Ticket != 0 {
+		limit = waitTime
+	}
+	ctx, cancel := context.WithTimeout(n.withToken(ctx), limit)
+	defer cancel()
+	got, err := n.client(vm.Address).Acquire(ctx, fleetapi.FromAsk(a))
+	if err != nil {
+		return nil, err
+	}
+	d, ok := fleetapi.ToDecision(got)
+	if !ok {
+		return nil, errors.New("the home's answer holds no decision")
+	}
+	return d, nil
+}
+
+// forget tells a home that nobody waits for a ticket any more.
+func (n *Node) forget(vm roster.VM, svc site.ServiceName, t pool.Ticket) {
+	if vm.Name == n.cfg.Self.Name {
+		n.cfg.Home.Abandon(svc, t)
+		return
+	}
+	n.tellHome(vm, fleetapi.FromAbandoned(svc, t))
+}
+
+// tellHome sends what a home should know. What gets lost is made up for by the
+// end of the grant's time.
+func (n *Node) tellHome(vm roster.VM, req *fleetapi.ReleaseRequest) {
+	go func() {
+		ctx, cancel := context.WithTimeout(n.withToken(context.Background()), releaseTime)
+		defer cancel()
+		if _, err := n.client(vm.Address).Release(ctx, req); err != nil {
+			n.cfg.Scope.Counter("releasesLost").Inc(1)
+		}
+	}()
+}
+
+// seat is a grant of a home.
+type seat struct {
+	node  *Node
+	home  roster.VM
+	grant pool.Granted
+}
+
+// Grant implements dispatch.Seat.
+func (s *seat) Grant() pool.Granted { return s.grant }
+
+// Release implements dispatch.Seat.
+func (s *seat) Release(e home.Ended) {
+	if s.home.Name == s.node.cfg.Self.Name {
+		s.node.cfg.Home.Release(e)
+		return
+	}
+	s.node.tellHome(s.home, fleetapi.FromEnded(e, string(s.node.cfg.Self.Name)))
+}
+
+// Acquire implements fleetapi.Fleet.
+func (s server) Acquire(ctx context.Context, req *fleetapi.AcquireRequest) (*fleetapi.AcquireAnswer, error) {
+	return fleetapi.FromDecision(s.node.cfg.Home.Acquire(ctx, fleetapi.ToAsk(req))), nil
+}
+
+// Release implements fleetapi.Fleet.
+func (s server) Release(_ context.Context, req *fleetapi.ReleaseRequest) (*fleetapi.ReleaseAnswer, error) {
+	if t, ok := fleetapi.ToAbandoned(req); ok {
+		s.node.cfg.Home.Abandon(site.ServiceName(req.GetService()), t)
+		return &fleetapi.ReleaseAnswer{}, nil
+	}
+	s.node.cfg.Home.Release(fleetapi.ToEnded(req))
+	return &fleetapi.ReleaseAnswer{}, nil
+}
--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -16,12 +16,15 @@
 
 	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/catalog"
+	"laburnumpick.org/pkg/claim"
 	"laburnumpick.org/pkg/control"
+	"laburnumpick.org/pkg/dispatch"
 	"laburnumpick.org/pkg/fleetapi"
 	"laburnumpick.org/pkg/home"
 	"laburnumpick.org/pkg/journal"
-	"laburnumpick.org/pkg/platform"
+	"laburnumpick.org/pkg/registry"
 	"laburnumpick.org/pkg/roster"
+	"laburnumpick.org/pkg/store"
 )
 
 // rosterTick is the gap between two looks at suspicions.
@@ -30,8 +33,8 @@
 // Config is what a node needs.
 type Config struct {
 	Self    roster.VM
-	Store   platform.Store
-	Log     *catalog.Log
+	Store   store.Store
+	Source  catalog.Source
 	Replica *catalog.Replica
 	Home    *home.Home
 	Journal *journal.Journal
@@ -40,6 +43,21 @@
 	Token   string
 	Scope   tally.Scope
 	Rand    *rand.Rand
+
+	// Servers is where registered servers are read, or nil where there are none.
+	Servers  registry.Source
+	Registry *registry.Book
+	Keyed    Keyed // Answers for the keyed requests that this VM runs.
+
+	ListGap     time.Duration // Between two reads of the list of VMs.
+	ListReaders int           // VMs that read it.
+	// Alone makes this VM the home of all pools, as the baseline of experiments.
+	Alone bool
+}
+
+// Keyed tells how the keyed requests that this VM runs end.
+type Keyed interface {
+	Await(ctx context.Context, id claim.ID, a claim.AttemptID, wait time.Duration) dispatch.Status
 }
 
 // Node is one VM's membership of the fleet.
@@ -49,7 +67,6 @@
 	view   atomic.Pointer[roster.View]
 	behind chan roster.VM // VMs that have a newer configuration.
 	tell   chan struct{}  // There is news to push at once.
-	synced atomic.Int64   // When the table was last read, in Unix milliseconds.
 
 	// The loop's goroutine owns what follows.
 	roster *roster.Roster
@@ -58,6 +75,11 @@
 
 	mu      sync.Mutex // Guards clients.
 	clients map[string]fleetapi.Fleet
+	gray    *grayList
+
+	levelMu sync.Mutex // Guards what follows.
+	level   level
+	telling map[roster.VMName]bool // VMs to which a message is on its way.
 }
 
 // NewNode returns a node. Its services must be served.
@@ -70,8 +92,9 @@
 		rumors:  newRumors(),
 		greet:   true,
 		clients: make(map[string]fleetapi.Fleet),
+		gray:    newGrayList(),
+		telling: make(map[roster.VMName]bool),
 	}
-	n.synced.Store(now.UnixMilli())
 	n.view.Store(n.roster.View())
 	n.loop = control.NewLoop(rosterTick, n.tick)
 	return n
@@ -84,9 +107,8 @@
 		&service{"pings", n.servePings},
 		&service{"news", n.serveNews},
 		&service{"catalog fetches", n.serveSync},
-		&service{"catalog polls", n.servePoll},
+		&service{"reads of the platform's tables", n.serveLevel},
 		&service{"list of VMs", n.serveList},
-		&service{"exchange of evidence", n.serveCompare},
 	}
 }
 
@@ -173,7 +195,7 @@
 // withToken shows the fleet's token in a call.
 func (n *Node) withToken(ctx context.Context) context.Context {
 	h := make(http.Header)
-	h.Set(home.HeaderToken, n.cfg.Token)
+	h.Set(fleetapi.HeaderToken, n.cfg.Token)
 	ctx, err := twirp.WithHTTPRequestHeaders(ctx, h)
 	if err != nil {
 		return ctx // The other VM refuses the call, which is told as an error.
--- a/pkg/fleet/ping.go
+++ b/pkg/fleet/ping.go
@@ -12,8 +12,8 @@
 	"laburnumpick.org/pkg/catalog"
 	"laburnumpick.org/pkg/control"
 	"laburnumpick.org/pkg/fleetapi"
-	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/quarantine"
+	"laburnumpick.org/pkg/registry"
 	"laburnumpick.org/pkg/roster"
 	"laburnumpick.org/pkg/site"
 )
@@ -59,7 +59,10 @@
 func (n *Node) ping(ctx context.Context, vm roster.VM, d time.Duration) error {
 	ctx, cancel := context.WithTimeout(n.withToken(ctx), d)
 	defer cancel()
-	req := &fleetapi.PingRequest{To: string(vm.Name), CatalogVersion: int64(n.cfg.Replica.State().Version)}
+	req := &fleetapi.PingRequest{
+		To: string(vm.Name), CatalogVersion: int64(n.cfg.Replica.State().Version),
+		RegistryRevision: int64(n.cfg.Registry.State().Revision),
+	}
 	if !n.loop.Do(ctx, func(now time.Time) {
 		req.From = fleetapi.FromUpdate(n.roster.Self())
 		req.Members = fleetapi.FromUpdates(n.factsFor(vm.Name))
@@ -76,7 +79,7 @@
 	if a.GetFrom().GetName() != string(vm.Name) {
 		return errors.New("another VM answered")
 	}
-	n.take(ctx, a.GetFrom(), a.GetMembers(), a.GetRumors(), a.GetCatalogVersion(), true)
+	n.take(ctx, a.GetFrom(), a.GetMembers(), a.GetRumors(), a.GetCatalogVersion(), a.GetRegistryRevision(), true)
 	return nil
 }
 
@@ -91,7 +94,7 @@
 }
 
 // take takes in what another VM said.
-func (n *Node) take(ctx context.Context, from *fleetapi.Member, members []*fleetapi.Member, rs []*fleetapi.Rumor, version int64, answer bool) {
+func (n *Node) take(ctx context.Context, from *fleetapi.Member, members []*fleetapi.Member, rs []*fleetapi.Rumor, version, revision int64, answer bool) {
 	var fresh []*fleetapi.Rumor
 	n.loop.Do(ctx, func(now time.Time) {
 		n.roster.Heard(now, fleetapi.ToUpdate(from), fleetapi.ToUpdates(members))
@@ -111,12 +114,7 @@
 	if len(fresh) > 0 {
 		n.news()
 	}
-	if n.cfg.Replica.Hear(catalog.Version(version)) {
-		select {
-		case n.behind <- fleetapi.ToUpdate(from).VM:
-		default:
-		}
-	}
+	n.hearOf(fleetapi.ToUpdate(from).VM, catalog.Version(version), registry.Revision(revision))
 }
 
 // act applies a fact that was new to this VM.
@@ -209,17 +207,16 @@
 	})
 }
 
-// SpreadLoss tells all VMs that a request took a server down. The homes of the
-// service's pools are told at once, since a copy of the request may be on its
-// way to them.
+// SpreadLoss tells all VMs that a request took a server down. The VMs that
+// stand in for the pool's home are told at once, since a copy of the request
+// may be on its way to them.
 func (n *Node) SpreadLoss(ctx context.Context, l quarantine.Loss) {
 	n.Spread(&fleetapi.Rumor{Body: &fleetapi.Rumor_Loss{Loss: fleetapi.FromLoss(l)}})
-	svc := n.cfg.Replica.State().Directory.Service(l.Service)
-	if svc == nil {
-		return
-	}
 	var wg sync.WaitGroup
-	for _, vm := range n.homesOf(svc) {
+	for _, vm := range n.View().Homes(string(l.Service)) {
+		if vm.Name == n.cfg.Self.Name {
+			continue
+		}
 		wg.Go(func() {
 			if err := n.ping(ctx, vm, roster.PingTimeout); err != nil {
 				klog.V(1).InfoS("fleet: loss not told", "vm", vm.Name, "err", err)
@@ -229,21 +226,6 @@
 	wg.Wait()
 }
 
-// homesOf returns the other VMs that are home of a pool of the service.
-func (n *Node) homesOf(svc *site.Service) []roster.VM {
-	var out []roster.VM
-	seen := map[roster.VMName]bool{n.cfg.Self.Name: true}
-	for i := range svc.Servers {
-		id := pool.ID{Service: svc.Name, DataCentre: svc.Servers[i].DataCentre}
-		vms := n.View().Homes(id.String(), id.DataCentre)
-		if len(vms) > 0 && !seen[vms[0].Name] {
-			seen[vms[0].Name] = true
-			out = append(out, vms[0])
-		}
-	}
-	return out
-}
-
 // SpreadRelease tells all VMs that a request may run again.
 func (n *Node) SpreadRelease(r quarantine.Release) {
 	n.Spread(&fleetapi.Rumor{Body: &fleetapi.Rumor_Release{Release: fleetapi.FromRelease(r)}})
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -9,21 +9,30 @@
 
 	"laburnumpick.org/pkg/catalog"
 	"laburnumpick.org/pkg/claim"
+	"laburnumpick.org/pkg/dispatch"
 	"laburnumpick.org/pkg/fleetapi"
-	"laburnumpick.org/pkg/home"
 	"laburnumpick.org/pkg/roster"
 )
 
 // maxWait bounds how long Outcome waits for an end.
 const maxWait = 30 * time.Second
 
+// server answers other VMs.
+type server struct{ node *Node }
+
+// Server returns what other VMs may ask.
+func (n *Node) Server() fleetapi.Fleet { return server{n} }
+
 // Ping implements fleetapi.Fleet.
-func (n *Node) Ping(ctx context.Context, req *fleetapi.PingRequest) (*fleetapi.PingAnswer, error) {
+func (s server) Ping(ctx context.Context, req *fleetapi.PingRequest) (*fleetapi.PingAnswer, error) {
+	n := s.node
 	if req.GetTo() != string(n.cfg.Self.Name) {
 		return nil, twirp.NotFoundError("this is VM " + string(n.cfg.Self.Name))
 	}
-	n.take(ctx, req.GetFrom(), req.GetMembers(), req.GetRumors(), req.GetCatalogVersion(), false)
-	a := &fleetapi.PingAnswer{CatalogVersion: int64(n.cfg.Replica.State().Version)}
+	n.take(ctx, req.GetFrom(), req.GetMembers(), req.GetRumors(), req.GetCatalogVersion(), req.GetRegistryRevision(), false)
+	a := &fleetapi.PingAnswer{
+		CatalogVersion: int64(n.cfg.Replica.State().Version), RegistryRevision: int64(n.cfg.Registry.State().Revision),
+	}
 	n.loop.Do(ctx, func(now time.Time) {
 		a.From = fleetapi.FromUpdate(n.roster.Self())
 		facts := n.factsFor(roster.VMName(req.GetFrom().GetName()))
@@ -45,14 +54,16 @@
 }
 
 // PingFor implements fleetapi.Fleet.
-func (n *Node) PingFor(ctx context.Context, req *fleetapi.PingForRequest) (*fleetapi.PingForAnswer, error) {
+func (s server) PingFor(ctx context.Context, req *fleetapi.PingForRequest) (*fleetapi.PingForAnswer, error) {
+	n := s.node
 	vm := roster.VM{Name: roster.VMName(req.GetName()), Address: req.GetAddress()}
 	err := n.ping(ctx, vm, roster.PingTimeout)
 	return &fleetapi.PingForAnswer{Reached: err == nil}, nil
 }
 
 // Changes implements fleetapi.Fleet.
-func (n *Node) Changes(_ context.Context, req *fleetapi.ChangesRequest) (*fleetapi.ChangesAnswer, error) {
+func (s server) Changes(_ context.Context, req *fleetapi.ChangesRequest) (*fleetapi.ChangesAnswer, error) {
+	n := s.node
 	a := &fleetapi.ChangesAnswer{Version: int64(n.cfg.Replica.State().Version)}
 	changes, ok := n.cfg.Replica.Since(catalog.Version(req.GetSince()))
 	if !ok {
@@ -83,9 +94,10 @@
 )
 
 // Outcome implements fleetapi.Fleet.
-func (n *Node) Outcome(ctx context.Context, req *fleetapi.OutcomeRequest) (*fleetapi.OutcomeAnswer, error) {
+func (s server) Outcome(ctx context.Context, req *fleetapi.OutcomeRequest) (*fleetapi.OutcomeAnswer, error) {
+	n := s.node
 	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxWait)
-	st := n.cfg.Home.Await(ctx, fleetapi.ToKey(req.GetKey()), claim.AttemptID(req.GetAttempt()), wait)
+	st := n.cfg.Keyed.Await(ctx, fleetapi.ToKey(req.GetKey()), claim.AttemptID(req.GetAttempt()), wait)
 	switch {
 	case st.Ended:
 		return &fleetapi.OutcomeAnswer{Phase: phaseEnded, Kept: fleetapi.FromKept(st.Kept)}, nil
@@ -96,27 +108,11 @@
 	}
 }
 
-// Compare implements fleetapi.Fleet.
-func (n *Node) Compare(ctx context.Context, req *fleetapi.CompareRequest) (*fleetapi.CompareAnswer, error) {
-	n.cfg.Home.Compare(evidence(req.GetPools()))
-	services := make(map[string]bool)
-	for _, p := range req.GetPools() {
-		services[p.GetService()] = true
-	}
-	a := &fleetapi.CompareAnswer{}
-	for _, e := range n.cfg.Home.Evidence(ctx) {
-		if services[string(e.Pool.Service)] {
-			a.Pools = append(a.Pools, fleetapi.FromSummary(e.Pool, e.Summary))
-		}
-	}
-	return a, nil
-}
-
 // Holder asks other VMs about keyed requests. It implements entry.Holder.
 type Holder struct{ Node *Node }
 
 // Outcome asks the VM that holds a claim how its request ended.
-func (h Holder) Outcome(ctx context.Context, vm claim.Holder, id claim.ID, a claim.AttemptID, wait time.Duration) (home.Status, error) {
+func (h Holder) Outcome(ctx context.Context, vm claim.Holder, id claim.ID, a claim.AttemptID, wait time.Duration) (dispatch.Status, error) {
 	n := h.Node
 	ctx, cancel := context.WithTimeout(n.withToken(ctx), wait+time.Second)
 	defer cancel()
@@ -124,9 +120,9 @@
 		Key: fleetapi.FromKey(id), Attempt: string(a), WaitMs: wait.Milliseconds(),
 	})
 	if err != nil {
-		return home.Status{}, err
+		return dispatch.Status{}, err
 	}
-	return home.Status{
+	return dispatch.Status{
 		Known: got.GetPhase() != phaseGone,
 		Ended: got.GetPhase() == phaseEnded,
 		Kept:  fleetapi.ToKept(got.GetKept()),
--- a/pkg/fleet/sync.go
+++ b/pkg/fleet/sync.go
@@ -5,29 +5,21 @@
 	"encoding/json"
 	"time"
 
-	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"laburnumpick.org/pkg/catalog"
 	"laburnumpick.org/pkg/control"
 	"laburnumpick.org/pkg/fleetapi"
-	"laburnumpick.org/pkg/home"
-	"laburnumpick.org/pkg/platform"
-	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/roster"
 	"laburnumpick.org/pkg/site"
+	"laburnumpick.org/pkg/store"
 )
 
 // Times and counts of keeping level.
 const (
-	pollGap     = 500 * time.Millisecond // Between two reads of the log by a poller.
-	pollers     = 3                      // VMs of a site that read the table.
-	listGap     = time.Second            // Between two reads of the list of VMs.
-	listAgain   = 5 * time.Second        // A leaving server is told of again.
-	compareGap  = 2 * time.Second        // Between two exchanges of evidence.
-	compareMost = 600                    // Bytes of evidence sent in one exchange.
+	listReaders = 3               // VMs of a site that read the list of VMs.
+	listAgain   = 5 * time.Second // A leaving server is told of again.
 	fetchTime   = 2 * time.Second
-	rolePoller  = "catalogPoller"
 	roleListing = "listReader"
 )
 
@@ -41,6 +33,12 @@
 			if err := n.fetch(ctx, vm); err != nil {
 				klog.V(1).InfoS("fleet: configuration not fetched", "vm", vm.Name, "err", err)
 			}
+			if n.cfg.Servers == nil {
+				continue
+			}
+			if err := n.fetchServers(ctx, vm); err != nil {
+				klog.V(1).InfoS("fleet: registered servers not fetched", "vm", vm.Name, "err", err)
+			}
 		}
 	}
 }
@@ -57,7 +55,8 @@
 	if err := n.apply(a); err != nil {
 		return err
 	}
-	if n.cfg.Replica.State().Version > was {
+	if v := n.cfg.Replica.State().Version; v > was {
+		n.inForce(v, string(vm.Name))
 		n.news()
 	}
 	return nil
@@ -83,77 +82,46 @@
 	return err
 }
 
-// servePoll reads the log of changes from the table, in a few VMs of the site
-// and in those that have no configuration yet.
-func (n *Node) servePoll(ctx context.Context) error {
-	t := control.NewTicker(pollGap)
-	defer t.Stop()
+// serveList tells the platform's list of VMs of this one, where it can be told,
+// and reads it, in a few VMs of the site and in those that know no other VM.
+func (n *Node) serveList(ctx context.Context) error {
+	told := make(map[string]time.Time)
+	registered := false
 	for {
-		if n.mustPoll() {
-			if err := n.poll(ctx); err != nil {
-				klog.V(1).InfoS("fleet: configuration not read", "err", err)
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
+		if !registered {
+			registered = n.register(ctx)
 		}
-	}
-}
-
-func (n *Node) mustPoll() bool {
-	return n.cfg.Replica.State().Version == 0 || n.View().Holds(rolePoller, pollers, n.cfg.Self.Name)
-}
-
-func (n *Node) poll(ctx context.Context) error {
-	now := time.Now()
-	was := n.cfg.Replica.State().Version
-	if was == 0 {
-		if err := n.cfg.Log.Boot(ctx, now, n.cfg.Replica); err != nil {
-			return err
+		gap := n.cfg.ListGap
+		alone := len(n.View().VMs()) <= 1
+		if alone {
+			gap = min(gap, aloneGap)
 		}
-	} else {
-		changes, err := n.cfg.Log.Poll(ctx, was)
-		if err != nil {
-			return err
+		if alone || n.View().Holds(roleListing, n.cfg.ListReaders, n.cfg.Self.Name) {
+			n.readList(ctx, told)
 		}
-		if _, err := n.cfg.Replica.Apply(now, changes); err != nil {
+		if err := control.Sleep(ctx, gap); err != nil {
 			return err
 		}
 	}
-	n.synced.Store(time.Now().UnixMilli())
-	if n.cfg.Replica.State().Version > was {
-		n.news()
-	}
-	return nil
 }
 
-// StoreAway returns how long ago a poller last read the table. In VMs that do
-// not poll it is zero.
-func (n *Node) StoreAway(now time.Time) time.Duration {
-	if !n.mustPoll() {
-		return 0
-	}
-	return max(0, now.Sub(time.UnixMilli(n.synced.Load()))-2*pollGap)
-}
+// aloneGap is the rest between two reads of a VM that knows no other.
+const aloneGap = time.Second
 
-// serveList reads the platform's list of VMs, in a few VMs of the site and in
-// those that know no other VM.
-func (n *Node) serveList(ctx context.Context) error {
-	t := control.NewTicker(listGap)
-	defer t.Stop()
-	told := make(map[string]time.Time)
-	for {
-		if len(n.View().VMs()) <= 1 || n.View().Holds(roleListing, pollers, n.cfg.Self.Name) {
-			n.readList(ctx, told)
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-		}
+// register puts this VM on the platform's list, where that takes entries.
+func (n *Node) register(ctx context.Context) bool {
+	r, ok := n.cfg.Store.(store.Registrar)
+	if !ok {
+		return true
 	}
+	err := r.Register(ctx, store.VM{
+		Name: string(n.cfg.Self.Name), Address: n.cfg.Self.Address, DataCentre: string(n.cfg.Self.DataCentre),
+		Role: store.RoleEntry, State: store.VMLive,
+	})
+	if err != nil {
+		klog.V(1).InfoS("fleet: this VM is not on the platform's list yet", "err", err)
+	}
+	return err == nil
 }
 
 func (n *Node) readList(ctx context.Context, told map[string]time.Time) {
@@ -166,9 +134,9 @@
 	now := time.Now()
 	for _, vm := range vms {
 		switch {
-		case vm.Role == platform.RoleEntry && vm.State == platform.VMLive:
+		case vm.Role == store.RoleEntry && vm.State == store.VMLive:
 			entries = append(entries, vmOf(vm))
-		case vm.Role == platform.RoleBackend && vm.State == platform.VMLeaving && now.Sub(told[vm.Address]) > listAgain:
+		case vm.Role == store.RoleBackend && vm.State == store.VMLeaving && now.Sub(told[vm.Address]) > listAgain:
 			told[vm.Address] = now
 			n.Spread(&fleetapi.Rumor{Body: &fleetapi.Rumor_Departure{
 				Departure: &fleetapi.Departure{Address: vm.Address},
@@ -181,85 +149,7 @@
 	})
 }
 
-// serveCompare exchanges evidence with the homes of the same services' other
-// pools, so that a pool of few servers has peers to compare with.
-func (n *Node) serveCompare(ctx context.Context) error {
-	t := control.NewTicker(compareGap)
-	defer t.Stop()
-	next := 0
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-			next = n.compare(ctx, next)
-		}
-	}
-}
-
-// compare sends other homes what concerns them, one message each. A VM that is
-// home of many pools takes them in turn, so that the bytes are bounded. It
-// returns the pool to begin with next time.
-func (n *Node) compare(ctx context.Context, from int) int {
-	byVM := make(map[string][]*fleetapi.PoolPeers)
-	dir := n.cfg.Replica.State().Directory
-	all := n.cfg.Home.Evidence(ctx)
-	bytes, done := 0, 0
-	for ; done < len(all) && bytes < compareMost; done++ {
-		e := all[(from+done)%len(all)]
-		svc := dir.Service(e.Pool.Service)
-		if svc == nil {
-			continue
-		}
-		m := fleetapi.FromSummary(e.Pool, e.Summary)
-		for _, vm := range n.homesOf(svc) {
-			byVM[vm.Address] = append(byVM[vm.Address], m)
-			bytes += proto.Size(m)
-		}
-	}
-	for address, pools := range byVM {
-		go n.exchange(ctx, address, pools)
-	}
-	return (from + done) % max(1, len(all))
-}
-
-// CompareNow exchanges evidence with the homes of a service's other pools at
-// once.
-func (n *Node) CompareNow(ctx context.Context, id pool.ID) {
-	svc := n.cfg.Replica.State().Directory.Service(id.Service)
-	if svc == nil {
-		return
-	}
-	for _, e := range n.cfg.Home.Evidence(ctx) {
-		if e.Pool != id {
-			continue
-		}
-		for _, vm := range n.homesOf(svc) {
-			go n.exchange(ctx, vm.Address, []*fleetapi.PoolPeers{fleetapi.FromSummary(e.Pool, e.Summary)})
-		}
-	}
-}
-
-func (n *Node) exchange(ctx context.Context, address string, pools []*fleetapi.PoolPeers) {
-	ctx, cancel := context.WithTimeout(n.withToken(ctx), compareGap)
-	defer cancel()
-	a, err := n.client(address).Compare(ctx, &fleetapi.CompareRequest{Pools: pools})
-	if err != nil {
-		return // The next exchange is a second away.
-	}
-	n.cfg.Home.Compare(evidence(a.GetPools()))
-}
-
-// evidence reads what another home sent.
-func evidence(pools []*fleetapi.PoolPeers) []home.Evidence {
-	out := make([]home.Evidence, len(pools))
-	for i, p := range pools {
-		out[i].Pool, out[i].Summary = fleetapi.ToSummary(p)
-	}
-	return out
-}
-
-func vmOf(vm platform.VM) roster.VM {
+func vmOf(vm store.VM) roster.VM {
 	return roster.VM{
 		Name: roster.VMName(vm.Name), Address: vm.Address, DataCentre: site.DataCentre(vm.DataCentre),
 	}
--- a/pkg/fleetapi/client.go
+++ b/pkg/fleetapi/client.go
@@ -2,6 +2,9 @@
 
 import "net/http"
 
+// HeaderToken proves that the caller is a VM of the fleet.
+const HeaderToken = "Laburnumpick-Token"
+
 // NewOperatorClient returns a client of the operators' port at an address of
 // the form host:port, which shows the operator's token in each call.
 func NewOperatorClient(address, token string, hc *http.Client) Operator {
--- a/pkg/fleetapi/conversions.go
+++ b/pkg/fleetapi/conversions.go
@@ -127,51 +127,9 @@
 	return out
 }
 
-// FromSummary converts the summary of one pool.
-func FromSummary(id pool.ID, s pool.Summary) *PoolPeers {
-	out := &PoolPeers{Service: string(id.Service), DataCentre: string(id.DataCentre)}
-	for _, p := range s.Peers {
-		out.Peers = append(out.Peers, &Peer{
-			Server: string(p.Server), FailRate: float32(p.FailRate), Score: float32(p.Score), Trusted: p.Trusted,
-		})
-	}
-	for rule, values := range s.Latencies {
-		q := &Quantiles{Rule: string(rule), Ms: make([]float32, len(values)), RecentMs: float32(s.Recent[rule])}
-		for i, v := range values {
-			q.Ms[i] = float32(v)
-		}
-		out.Latencies = append(out.Latencies, q)
-	}
-	return out
-}
-
-// ToSummary converts the summary of one pool.
-func ToSummary(m *PoolPeers) (pool.ID, pool.Summary) {
-	id := pool.ID{Service: site.ServiceName(m.GetService()), DataCentre: site.DataCentre(m.GetDataCentre())}
-	s := pool.Summary{
-		Latencies: make(map[site.RuleName][]float64, len(m.GetLatencies())),
-		Recent:    make(map[site.RuleName]float64, len(m.GetLatencies())),
-	}
-	for _, p := range m.GetPeers() {
-		s.Peers = append(s.Peers, pool.Peer{
-			Server: site.ServerName(p.GetServer()), FailRate: float64(p.GetFailRate()),
-			Score: float64(p.GetScore()), Trusted: p.GetTrusted(),
-		})
-	}
-	for _, q := range m.GetLatencies() {
-		values := make([]float64, len(q.GetMs()))
-		for i, v := range q.GetMs() {
-			values[i] = float64(v)
-		}
-		s.Latencies[site.RuleName(q.GetRule())] = values
-		s.Recent[site.RuleName(q.GetRule())] = float64(q.GetRecentMs())
-	}
-	return id, s
-}
-
 // FromView converts what a pool believes.
 func FromView(v pool.View) *PoolView {
-	out := &PoolView{Service: string(v.ID.Service), DataCentre: string(v.ID.DataCentre), Queued: int32(v.Queued)}
+	out := &PoolView{Service: string(v.ID), Queued: int32(v.Queued)}
 	for _, s := range v.Servers {
 		out.Servers = append(out.Servers, &ServerView{
 			Name: string(s.Server.Name), Address: s.Server.Address, State: string(s.State), Reason: s.Reason,
--- /dev/null
+++ b/pkg/fleetapi/grants.go
@@ -0,0 +1,195 @@
+package fleetapi
+
+import (
+	"time"
+
+	"laburnumpick.org/pkg/home"
+	"laburnumpick.org/pkg/outcome"
+	"laburnumpick.org/pkg/pool"
+	"laburnumpick.org/pkg/quarantine"
+	"laburnumpick.org/pkg/registry"
+	"laburnumpick.org/pkg/site"
+)
+
+// FromAsk converts a request for a slot.
+func FromAsk(a *home.Ask) *AcquireRequest {
+	req := &AcquireRequest{
+		RequestId: a.RequestID, Service: string(a.Service), DataCentre: string(a.DataCentre),
+		Account: string(a.Account), Rule: string(a.Rule), Repeatable: a.Class == site.Repeatable,
+		Priority: int32(a.Priority), LeftMs: a.Left.Milliseconds(), TargetLeftMs: a.TargetLeft.Milliseconds(),
+		Fingerprint: string(a.Fingerprint), Sends: int32(a.Sends), Attempts: int32(a.Attempts), Ticket: int64(a.Ticket),
+	}
+	for _, n := range a.Exclude {
+		req.Exclude = append(req.Exclude, string(n))
+	}
+	return req
+}
+
+// ToAsk converts a request for a slot.
+func ToAsk(m *AcquireRequest) *home.Ask {
+	a := &home.Ask{
+		RequestID: m.GetRequestId(), Service: site.ServiceName(m.GetService()),
+		DataCentre: site.DataCentre(m.GetDataCentre()), Account: site.AccountName(m.GetAccount()),
+		Class: site.AtMostOnce, Rule: site.RuleName(m.GetRule()), Priority: int(m.GetPriority()),
+		Left:        time.Duration(m.GetLeftMs()) * time.Millisecond,
+		TargetLeft:  time.Duration(m.GetTargetLeftMs()) * time.Millisecond,
+		Fingerprint: quarantine.Fingerprint(m.GetFingerprint()), Sends: int(m.GetSends()),
+		Attempts: int(m.GetAttempts()), Ticket: pool.Ticket(m.GetTicket()),
+	}
+	if m.GetRepeatable() {
+		a.Class = site.Repeatable
+	}
+	for _, n := range m.GetExclude() {
+		a.Exclude = append(a.Exclude, site.ServerName(n))
+	}
+	return a
+}
+
+// FromDecision converts the decision on a request for a slot.
+func FromDecision(d pool.Decision) *AcquireAnswer {
+	switch d := d.(type) {
+	case pool.Granted:
+		return &AcquireAnswer{Decision: &AcquireAnswer_Grant{Grant: &Grant{
+			Id: int64(d.ID), Server: fromServer(d.Server), PatienceMs: d.Patience.Milliseconds(),
+			Trial: d.Trial, Suspect: d.Suspect, More: d.More,
+		}}}
+	case pool.Waiting:
+		return &AcquireAnswer{Decision: &AcquireAnswer_Wait{Wait: &Wait{Ticket: int64(d.Ticket)}}}
+	case pool.Refused:
+		return &AcquireAnswer{Decision: &AcquireAnswer_Refusal{Refusal: &Refusal{
+			Kind: string(d.Kind), Detail: d.Detail, RetryAfterMs: d.RetryAfter.Milliseconds(),
+		}}}
+	}
+	return &AcquireAnswer{}
+}
+
+// ToDecision converts the decision on a request for a slot. It reports false
+// where there is none.
+func ToDecision(m *AcquireAnswer) (pool.Decision, bool) {
+	switch d := m.GetDecision().(type) {
+	case *AcquireAnswer_Grant:
+		return pool.Granted{
+			ID: pool.GrantID(d.Grant.GetId()), Server: toServer(d.Grant.GetServer()),
+			Patience: time.Duration(d.Grant.GetPatienceMs()) * time.Millisecond,
+			Trial:    d.Grant.GetTrial(), Suspect: d.Grant.GetSuspect(), More: d.Grant.GetMore(),
+		}, true
+	case *AcquireAnswer_Wait:
+		return pool.Waiting{Ticket: pool.Ticket(d.Wait.GetTicket())}, true
+	case *AcquireAnswer_Refusal:
+		return pool.Refused{
+			Kind: outcome.Kind(d.Refusal.GetKind()), Detail: d.Refusal.GetDetail(),
+			RetryAfter: time.Duration(d.Refusal.GetRetryAfterMs()) * time.Millisecond,
+		}, true
+	}
+	return nil, false
+}
+
+func fromServer(s site.Server) *Server {
+	return &Server{
+		Name: string(s.Name), Address: s.Address, DataCentre: string(s.DataCentre),
+		Slots: int32(s.Slots), StartedMs: s.StartedMs,
+	}
+}
+
+func toServer(m *Server) site.Server {
+	return site.Server{
+		Name: site.ServerName(m.GetName()), Address: m.GetAddress(),
+		DataCentre: site.DataCentre(m.GetDataCentre()), Slots: int(m.GetSlots()), StartedMs: m.GetStartedMs(),
+	}
+}
+
+// Names of reports on the wire.
+const (
+	reportServed    = "served"
+	reportFailed    = "failed"
+	reportDeclined  = "declined"
+	reportDropped   = "dropped"
+	reportUnreached = "unreached"
+	reportAbandoned = "abandoned" // Nobody waits for the ticket any more.
+)
+
+// FromAbandoned converts the word that nobody waits for a ticket any more.
+func FromAbandoned(n site.ServiceName, t pool.Ticket) *ReleaseRequest {
+	return &ReleaseRequest{Service: string(n), Grant: int64(t), Report: reportAbandoned}
+}
+
+// ToAbandoned returns the ticket that nobody waits for, where the message tells
+// of one.
+func ToAbandoned(m *ReleaseRequest) (pool.Ticket, bool) {
+	return pool.Ticket(m.GetGrant()), m.GetReport() == reportAbandoned
+}
+
+// FromEnded converts what became of a granted request, as a VM saw it.
+func FromEnded(e home.Ended, vm string) *ReleaseRequest {
+	req := &ReleaseRequest{
+		Service: string(e.Service), Grant: int64(e.Grant), Vm: vm,
+		Fingerprint: string(e.Fingerprint), Request: e.Request,
+	}
+	switch r := e.Report.(type) {
+	case pool.Served:
+		req.Report, req.Rule, req.TookUs = reportServed, string(r.Rule), r.Took.Microseconds()
+	case pool.Failed:
+		req.Report, req.Rule, req.TookUs, req.Detail = reportFailed, string(r.Rule), r.Took.Microseconds(), r.Detail
+	case pool.Declined:
+		req.Report, req.Why = reportDeclined, string(r.Why)
+	case pool.Dropped:
+		req.Report, req.Rule, req.TookUs = reportDropped, string(r.Rule), r.Took.Microseconds()
+	case pool.Unreached:
+		req.Report, req.Detail, req.Crashed = reportUnreached, r.Detail, r.Crashed
+	}
+	return req
+}
+
+// ToEnded converts what became of a granted request. A report of an unknown
+// name only gives the slot back.
+func ToEnded(m *ReleaseRequest) home.Ended {
+	e := home.Ended{
+		Service: site.ServiceName(m.GetService()), Grant: pool.GrantID(m.GetGrant()),
+		Fingerprint: quarantine.Fingerprint(m.GetFingerprint()), Request: m.GetRequest(), Report: pool.Dropped{},
+	}
+	rule, took := site.RuleName(m.GetRule()), time.Duration(m.GetTookUs())*time.Microsecond
+	switch m.GetReport() {
+	case reportServed:
+		e.Report = pool.Served{Rule: rule, Took: took}
+	case reportFailed:
+		e.Report = pool.Failed{Rule: rule, Took: took, Detail: m.GetDetail()}
+	case reportDeclined:
+		e.Report = pool.Declined{Why: pool.Refusal(m.GetWhy())}
+	case reportDropped:
+		e.Report = pool.Dropped{Rule: rule, Took: took}
+	case reportUnreached:
+		e.Report = pool.Unreached{Detail: m.GetDetail(), Crashed: m.GetCrashed()}
+	}
+	return e
+}
+
+// FromRegistry converts a change of the list of registered servers.
+func FromRegistry(u registry.Update) *ServerList {
+	out := &ServerList{Since: int64(u.Since), Revision: int64(u.Revision), Whole: u.Whole}
+	for _, e := range u.Entries {
+		out.Entries = append(out.Entries, &RegisteredServer{
+			Server: fromServer(e.Server), Service: string(e.Service), Draining: e.Draining, ColdMs: e.Cold.Milliseconds(), Seq: e.Seq,
+		})
+	}
+	for _, n := range u.Gone {
+		out.Gone = append(out.Gone, string(n))
+	}
+	return out
+}
+
+// ToRegistry converts a change of the list of registered servers.
+func ToRegistry(m *ServerList) registry.Update {
+	u := registry.Update{
+		Since: registry.Revision(m.GetSince()), Revision: registry.Revision(m.GetRevision()), Whole: m.GetWhole(),
+	}
+	for _, e := range m.GetEntries() {
+		u.Entries = append(u.Entries, registry.Entry{
+			Service: site.ServiceName(e.GetService()), Server: toServer(e.GetServer()),
+			Draining: e.GetDraining(), Cold: time.Duration(e.GetColdMs()) * time.Millisecond, Seq: e.GetSeq(),
+		})
+	}
+	for _, n := range m.GetGone() {
+		u.Gone = append(u.Gone, site.ServerName(n))
+	}
+	return u
+}
--- a/pkg/floor/floor_test.go
+++ b/pkg/floor/floor_test.go
@@ -10,8 +10,8 @@
 	"pgregory.net/rapid"
 
 	"laburnumpick.org/pkg/floor"
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/site"
+	"laburnumpick.org/pkg/store"
 )
 
 var start = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
@@ -36,31 +36,31 @@
 // watchedTable runs others' work between a VM's read and its write, and checks
 // each write that takes effect.
 type watchedTable struct {
-	platform.Table
-	m       *platform.Memory
+	store.Table
+	m       *store.Memory
 	svc     *site.Service
 	between func()
-	fault   platform.Fault // Of the next write.
+	fault   store.Fault // Of the next write.
 	broken  *string
 }
 
 // Put lets the others go first.
-func (w *watchedTable) Put(ctx context.Context, k platform.Key, v []byte, r platform.Revision) (platform.Revision, error) {
+func (w *watchedTable) Put(ctx context.Context, k store.Key, v []byte, r store.Revision) (store.Revision, error) {
 	if f := w.between; f != nil {
 		w.between = nil
 		f()
 	}
 	before := w.read()
 	fault := w.fault
-	w.fault = platform.FaultNone
-	w.m.SetFaults(func(op platform.Op) platform.Fault {
+	w.fault = store.FaultNone
+	w.m.SetFaults(func(op store.Op) store.Fault {
 		if op.Write {
 			return fault
 		}
-		return platform.FaultNone
+		return store.FaultNone
 	})
 	rev, err := w.m.Put(ctx, k, v, r)
-	w.m.SetFaults(func(platform.Op) platform.Fault { return platform.FaultNone })
+	w.m.SetFaults(func(store.Op) store.Fault { return store.FaultNone })
 	w.check(before, w.read())
 	return rev, err
 }
@@ -93,7 +93,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		servers := rapid.IntRange(1, 8).Draw(rt, "servers")
 		svc := aService(servers, rapid.IntRange(0, servers).Draw(rt, "floor"))
-		m := platform.NewMemory()
+		m := store.NewMemory()
 		broken := ""
 		var vms []*vm
 		for range 3 {
@@ -114,7 +114,7 @@
 	ctx := context.Background()
 	v := vms[rapid.IntRange(0, len(vms)-1).Draw(rt, "vm")]
 	n := svc.Servers[rapid.IntRange(0, len(svc.Servers)-1).Draw(rt, "server")].Name
-	fault := platform.Fault(rapid.IntRange(0, 3).Draw(rt, "fault"))
+	fault := store.Fault(rapid.IntRange(0, 3).Draw(rt, "fault"))
 	others := 0
 	if depth < 2 {
 		others = rapid.IntRange(0, 2).Draw(rt, "others in the pause")
--- a/pkg/floor/keeper.go
+++ b/pkg/floor/keeper.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"fmt"
 
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/site"
+	"laburnumpick.org/pkg/store"
 )
 
 // tries is how often a decision is made anew after losing a race.
@@ -32,19 +32,19 @@
 func (Away) verdict()    {}
 
 // Keeper reads and writes the records in the platform's table.
-type Keeper struct{ table platform.Table }
+type Keeper struct{ table store.Table }
 
 // NewKeeper returns a keeper on a table.
-func NewKeeper(t platform.Table) *Keeper { return &Keeper{t} }
+func NewKeeper(t store.Table) *Keeper { return &Keeper{t} }
 
-func key(s *site.Service) platform.Key {
-	return platform.Key(fmt.Sprintf("site/%s/out/%s", s.Site, s.Name))
+func key(s *site.Service) store.Key {
+	return store.Key(fmt.Sprintf("site/%s/out/%s", s.Site, s.Name))
 }
 
 // Read returns the service's record, empty where there is none yet.
-func (k *Keeper) Read(ctx context.Context, s *site.Service) (Record, platform.Revision, error) {
+func (k *Keeper) Read(ctx context.Context, s *site.Service) (Record, store.Revision, error) {
 	row, err := k.table.Get(ctx, key(s))
-	if platform.NotFound.Has(err) {
+	if store.NotFound.Has(err) {
 		return Record{}, 0, nil
 	}
 	if err != nil {
@@ -88,7 +88,7 @@
 		if err == nil {
 			return Done{next}
 		}
-		if platform.Unavailable.Has(err) {
+		if store.Unavailable.Has(err) {
 			return Away{err}
 		}
 		last = err
--- a/pkg/home/intents.go
+++ b/pkg/home/intents.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/floor"
 	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/quarantine"
@@ -19,10 +20,14 @@
 
 // intend carries out what a pool wants.
 func (h *Home) intend(now time.Time, p *held) {
-	svc := h.cfg.Replica.State().Directory.Service(p.ID().Service)
+	svc := h.cfg.Replica.State().Directory.Service(site.ServiceName(p.ID()))
 	if svc == nil {
 		return
 	}
+	if svc.Registered {
+		h.reachAll(now, p)
+		return
+	}
 	record := h.records[svc.Name]
 	recorded := func(n site.ServerName) bool {
 		e, out := record.Out[n]
@@ -38,13 +43,22 @@
 			h.restore(p.ID(), svc, in.Server.Name, record.Out[in.Server.Name].Cause)
 		case pool.Reach:
 			h.reach(p.ID(), in.Server)
-		case pool.Compare:
-			go h.cfg.Compare(p.ID())
 		}
 	}
 	h.readmit(now, p, svc, record)
 }
 
+// reachAll looks at the servers that some VM could not reach. Ejections of
+// servers that register themselves need no record: they come and go, the floor
+// is a share of them, and the pool keeps it.
+func (h *Home) reachAll(now time.Time, p *held) {
+	for _, in := range p.Intents(now, func(site.ServerName) bool { return false }) {
+		if r, ok := in.(pool.Reach); ok {
+			h.reach(p.ID(), r.Server)
+		}
+	}
+}
+
 // take asks the table to record a server as out. Until it does, a sick server
 // stays in use as a last resort.
 func (h *Home) take(now time.Time, id pool.ID, svc *site.Service, n site.ServerName, c floor.Cause, reason string) {
@@ -108,7 +122,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), reachTimeout)
 		defer cancel()
-		err := h.link(s.Address).Reach(ctx)
+		err := backend.NewLink(s.Address, h.cfg.Dial).Reach(ctx)
 		h.loop.Post(func(now time.Time) {
 			if p, ok := h.pools[id]; ok {
 				h.note(now, id, p.Reached(now, s.Name, err == nil))
@@ -133,7 +147,7 @@
 }
 
 func (h *Home) leaving(now time.Time, svc *site.Service, s *site.Server) {
-	id := pool.ID{Service: svc.Name, DataCentre: s.DataCentre}
+	id := pool.ID(svc.Name)
 	if p, ok := h.pools[id]; ok {
 		h.note(now, id, p.MarkLeaving(now, s.Name, "the platform's list shows it as leaving"))
 	}
@@ -166,7 +180,7 @@
 		}
 		b.Suspects = h.book.List(now)
 	})
-	slices.SortFunc(b.Pools, func(x, y pool.View) int { return cmp.Compare(x.ID.String(), y.ID.String()) })
+	slices.SortFunc(b.Pools, func(x, y pool.View) int { return cmp.Compare(x.ID, y.ID) })
 	return b
 }
 
@@ -176,70 +190,3 @@
 	h.loop.Do(ctx, func(now time.Time) { out = h.book.Facts(now) })
 	return out
 }
-
-// Evidence is what one pool's home knows of its servers.
-type Evidence struct {
-	Pool    pool.ID
-	Summary pool.Summary
-}
-
-// Evidence returns what the home knows of the pools that had requests lately.
-func (h *Home) Evidence(ctx context.Context) []Evidence {
-	var out []Evidence
-	h.loop.Do(ctx, func(now time.Time) {
-		for id, p := range h.pools {
-			h.setPeers(now, p)
-			if now.Sub(p.used) < peerMemory {
-				out = append(out, Evidence{id, p.Summary()})
-			}
-		}
-	})
-	slices.SortFunc(out, func(x, y Evidence) int { return cmp.Compare(x.Pool.String(), y.Pool.String()) })
-	return out
-}
-
-// Compare takes in what other homes know.
-func (h *Home) Compare(evidence []Evidence) {
-	h.loop.Post(func(now time.Time) {
-		for _, e := range evidence {
-			h.remote[e.Pool] = remotePeers{e.Summary, now}
-		}
-		for id, r := range h.remote {
-			if now.Sub(r.at) > peerMemory {
-				delete(h.remote, id)
-			}
-		}
-		for _, p := range h.pools {
-			h.setPeers(now, p)
-		}
-	})
-}
-
-// setPeers gives a pool what is known of the service's other pools, and since
-// when the oldest of it is known.
-func (h *Home) setPeers(now time.Time, p *held) {
-	oldest := now
-	for other, r := range h.remote {
-		if other.Service == p.ID().Service && other != p.ID() && r.at.Before(oldest) {
-			oldest = r.at
-		}
-	}
-	p.SetPeers(oldest, h.peersOf(p.ID()))
-}
-
-// peersOf joins what is known of a service's other pools, here or from their
-// homes.
-func (h *Home) peersOf(id pool.ID) []pool.Summary {
-	var out []pool.Summary
-	for other, r := range h.remote {
-		if other.Service == id.Service && other != id {
-			out = append(out, r.summary)
-		}
-	}
-	for other, p := range h.pools {
-		if _, told := h.remote[other]; !told && other.Service == id.Service && other != id {
-			out = append(out, p.Summary())
-		}
-	}
-	return out
-}
--- a/pkg/operator/console.go
+++ b/pkg/operator/console.go
@@ -10,14 +10,15 @@
 
 	"laburnumpick.org/pkg/catalog"
 	"laburnumpick.org/pkg/claim"
+	"laburnumpick.org/pkg/dispatch"
 	"laburnumpick.org/pkg/fleet"
 	"laburnumpick.org/pkg/fleetapi"
 	"laburnumpick.org/pkg/floor"
 	"laburnumpick.org/pkg/home"
 	"laburnumpick.org/pkg/journal"
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/quarantine"
 	"laburnumpick.org/pkg/site"
+	"laburnumpick.org/pkg/store"
 )
 
 // Verdicts on commands.
@@ -31,9 +32,10 @@
 type Config struct {
 	Node    *fleet.Node
 	Home    *home.Home
-	Log     *catalog.Log
+	Keyed   *dispatch.Dispatcher
+	Log     *catalog.Log // Nil where the platform's operators write the configuration.
 	Replica *catalog.Replica
-	Store   platform.Table
+	Store   store.Table
 	Journal *journal.Journal
 	Stop    func() // Starts a planned stop of this VM.
 }
@@ -64,6 +66,9 @@
 	if base == 0 {
 		base = c.cfg.Replica.State().Version
 	}
+	if c.cfg.Log == nil {
+		return &fleetapi.ApplyAnswer{Verdict: rejected, Reason: "the platform holds the configuration; change it there"}, nil
+	}
 	now := time.Now()
 	switch v := c.cfg.Log.Write(ctx, now, c.cfg.Replica, base, ch).(type) {
 	case catalog.Accepted:
@@ -98,7 +103,7 @@
 		StoreAwayMs:     c.cfg.Node.StoreAway(now).Milliseconds(),
 		Isolated:        isolated,
 		Members:         fleetapi.FromUpdates(all),
-		UnsettledClaims: int64(c.cfg.Home.Unsettled()),
+		UnsettledClaims: int64(c.cfg.Keyed.Unsettled()),
 	}
 	for _, p := range b.Pools {
 		a.Pools = append(a.Pools, fleetapi.FromView(p))
@@ -184,7 +189,7 @@
 	if _, err := allow(ctx, Read); err != nil {
 		return nil, err
 	}
-	sight, err := c.cfg.Home.Ledger().Look(ctx, fleetapi.ToKey(req.GetKey()))
+	sight, err := c.cfg.Keyed.Ledger().Look(ctx, fleetapi.ToKey(req.GetKey()))
 	if err != nil {
 		return &fleetapi.KeyOutcomeAnswer{Phase: "unknown", Detail: err.Error()}, nil
 	}
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -79,7 +79,7 @@
 	EarlierUnsure:   {Unknown, http.StatusServiceUnavailable, 5 * time.Second, "this attempt was not sent; try again with the same key to learn of earlier ones"},
 	Quarantined:     {NotRun, http.StatusServiceUnavailable, time.Minute, "this request has crashed backend servers; do not repeat it"},
 	CrashedServers:  {Unknown, http.StatusBadGateway, 0, "this request has taken backend servers down; do not repeat it"},
-	DeadlinePassed:  {NotRun, http.StatusGatewayTimeout, time.Second, "try again with a longer deadline"},
+	DeadlinePassed:  {NotRun, http.StatusServiceUnavailable, time.Second, "try again with a longer deadline"},
 	Canceled:        {NotRun, 499, 0, "the caller went away"},
 	InProgress:      {Unknown, http.StatusConflict, time.Second, "the first request with this key is still running; ask for its outcome"},
 	Superseded:      {NotRun, http.StatusConflict, time.Second, "try again with the same key"},
--- a/pkg/outcome/write.go
+++ b/pkg/outcome/write.go
@@ -30,8 +30,9 @@
 }
 
 // Write sends the failure to a caller. askAt is where the outcome of a keyed
-// request can be asked later, or empty.
-func Write(w http.ResponseWriter, f *Failure, requestID, askAt string) {
+// request can be asked later, or empty. With fractions, Retry-After is written
+// with fractions of a second.
+func Write(w http.ResponseWriter, f *Failure, requestID, askAt string, fractions bool) {
 	a := f.Kind.Answer()
 	wait := f.ComeBack()
 	n := Notice{
@@ -52,14 +53,21 @@
 		h.Set(HeaderAskAt, askAt)
 	}
 	if wait > 0 {
-		h.Set(headerRetryAfter, strconv.FormatInt(wholeSeconds(wait), 10))
+		h.Set(headerRetryAfter, retryAfter(wait, fractions))
 		h.Set(HeaderRetryMs, strconv.FormatInt(wait.Milliseconds(), 10))
 	}
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(body) // The caller may have gone; nothing is left to tell it.
 }
 
-// wholeSeconds rounds up, because Retry-After has no fractions.
+func retryAfter(wait time.Duration, fractions bool) string {
+	if fractions {
+		return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
+	}
+	return strconv.FormatInt(wholeSeconds(wait), 10)
+}
+
+// wholeSeconds rounds up, because Retry-After has no fractions elsewhere.
 func wholeSeconds(d time.Duration) int64 {
 	return int64((d + time.Second - 1) / time.Second)
 }
--- /dev/null
+++ b/pkg/pool/budget.go
@@ -0,0 +1,60 @@
+package pool
+
+import "time"
+
+// RetryLimits bound how often requests are sent to more than one server.
+type RetryLimits struct {
+	Ratio  float64       // Sendings beyond the first for each request.
+	Slack  int           // Such sendings in a window beside the ratio's.
+	Window time.Duration // Any window of this length.
+}
+
+// DefaultRetryLimits are those of a service that names none.
+var DefaultRetryLimits = RetryLimits{Ratio: 0.1, Slack: 10, Window: 10 * time.Second}
+
+// budgetParts is how many parts a budget's window is counted in.
+const budgetParts = 20
+
+// budget bounds the sendings beyond the first over a sliding window, so that
+// retries cannot multiply the load on servers that fail.
+type budget struct {
+	limits RetryLimits
+	parts  [budgetParts + 1]budgetPart
+}
+
+type budgetPart struct {
+	number   int64 // Of the part since the zero time.
+	requests int
+	retries  int
+}
+
+func newBudget(l RetryLimits) budget { return budget{limits: l} }
+
+// part returns the present part of the window.
+func (b *budget) part(now time.Time) *budgetPart {
+	n := now.UnixNano() / max(1, int64(b.limits.Window)/budgetParts)
+	p := &b.parts[n%int64(len(b.parts))]
+	if p.number != n {
+		*p = budgetPart{number: n}
+	}
+	return p
+}
+
+// earn counts a request.
+func (b *budget) earn(now time.Time) { b.part(now).requests++ }
+
+// spend counts a sending beyond a request's first.
+func (b *budget) spend(now time.Time) { b.part(now).retries++ }
+
+// may reports whether one more such sending is within the limits.
+func (b *budget) may(now time.Time) bool {
+	last := b.part(now).number
+	requests, retries := 0, 0
+	for _, p := range b.parts {
+		if last-p.number <= budgetParts {
+			requests += p.requests
+			retries += p.retries
+		}
+	}
+	return float64(retries+1) <= b.limits.Ratio*float64(requests)+float64(b.limits.Slack)
+}
--- a/pkg/home/budget_test.go
+++ b/pkg/pool/budget_test.go
@@ -1,4 +1,4 @@
-package home
+package pool
 
 import (
 	"testing"
--- a/pkg/pool/evidence.go
+++ b/pkg/pool/evidence.go
@@ -25,11 +25,6 @@
 	commonRate = 0.1
 	// commonScore is the share of the threshold at which a peer is suspect too.
 	commonScore = 0.35
-	// strongScore is the share of the threshold from which on evidence of other
-	// pools must be fresh.
-	strongScore = 0.7
-	// compareWait bounds the wait for fresh evidence.
-	compareWait = 3 * time.Second
 	// slowRatio is how many times the peers' median a server's own must at least
 	// be for its latencies to convict it.
 	slowRatio = 2
@@ -42,29 +37,10 @@
 	minReference = 16 // Peers' latencies before ranks mean anything.
 	// rankPrior is how many latencies, spread evenly, stand beside the peers'
 	// in a rank: a short reference may be low by chance for many answers on end.
-	rankPrior  = 8
-	maxRules   = 16 // Rules whose latencies are kept apart.
-	sketchSize = 16 // Quantiles that stand for a pool's latencies.
+	rankPrior = 8
+	maxRules  = 16 // Rules whose latencies are kept apart.
 )
 
-// Peer sums up one server of another pool.
-type Peer struct {
-	Server   site.ServerName
-	FailRate float64
-	Score    float64
-	Trusted  bool
-}
-
-// Summary sums up a pool for the homes of its service's other pools.
-type Summary struct {
-	Peers []Peer
-	// Latencies holds evenly spaced quantiles, in milliseconds, of the trusted
-	// servers' latest latencies by rule.
-	Latencies map[site.RuleName][]float64
-	// Recent holds the median of the trusted servers' last few latencies.
-	Recent map[site.RuleName]float64
-}
-
 // detector gathers the evidence against one server in two cumulative sums of
 // log-likelihood ratios, one over failures and one over latencies. Each starts
 // anew at zero, so that old good answers do not hide new bad ones. A healthy
@@ -154,9 +130,6 @@
 			buf = append(buf, r.values()...)
 		}
 	}
-	for i := range p.remote {
-		buf = append(buf, p.remote[i].Latencies[rule]...)
-	}
 	return buf
 }
 
@@ -180,6 +153,15 @@
 	return below / float64(len(ref)+rankPrior), true
 }
 
+// median returns the median time of a rule's answers in milliseconds, but for
+// one server's. Where too little is known it is that of all answers.
+func (p *Pool) median(rule site.RuleName, self *server) float64 {
+	if m := p.peersMedian(rule, self); m > 0 {
+		return m
+	}
+	return p.meanMs
+}
+
 // peersMedian returns the median of the peers' latest latencies in
 // milliseconds, or zero where too little is known.
 func (p *Pool) peersMedian(rule site.RuleName, self *server) float64 {
@@ -199,13 +181,6 @@
 			do(v.score(), v.failRate)
 		}
 	}
-	for i := range p.remote {
-		for _, o := range p.remote[i].Peers {
-			if o.Trusted {
-				do(o.Score, o.FailRate)
-			}
-		}
-	}
 }
 
 // peersFailRate returns the mean share of failed answers of the other servers.
@@ -224,7 +199,7 @@
 // commonCause reports whether at least half of the other servers get worse as
 // well, so that the cause lies outside the server.
 func (p *Pool) commonCause(self *server) bool {
-	limit := float64(p.sureness) * commonScore
+	limit := float64(p.set.Sureness) * commonScore
 	worse, n := 0, 0
 	p.eachPeer(self, func(score, rate float64) {
 		n++
@@ -242,16 +217,11 @@
 	return ok && r.n > 0 && r.recentMedian() > slowRatio*p.peersRecent(rule, v)
 }
 
-// peersRecent returns the median over what the service's other servers and
-// pools have taken in their last few answers, in milliseconds.
+// peersRecent returns the median over what the service's other servers
+// have taken in their last few answers, in milliseconds.
 func (p *Pool) peersRecent(rule site.RuleName, self *server) float64 {
 	var buf [64]float64
 	ms := p.recents(buf[:0], rule, self)
-	for i := range p.remote {
-		if m := p.remote[i].Recent[rule]; m > 0 {
-			ms = append(ms, m)
-		}
-	}
 	return median(ms)
 }
 
@@ -281,55 +251,3 @@
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
-// SetPeers sets what is known of the service's other pools, and since when the
-// oldest of it is known.
-func (p *Pool) SetPeers(since time.Time, others []Summary) { p.remote, p.remoteAt = others, since }
-
-// watch notes when the case against a server becomes strong.
-func (p *Pool) watch(now time.Time, v *server) {
-	switch strong := v.score() >= strongScore*float64(p.sureness); {
-	case !strong:
-		v.strongAt = time.Time{}
-	case v.strongAt.IsZero():
-		v.strongAt = now
-	}
-}
-
-// stale reports whether what is known of the other pools is from before the
-// case against the server became strong. Then they may get worse as well.
-func (p *Pool) stale(now time.Time, v *server) bool {
-	return len(p.remote) > 0 && !v.strongAt.IsZero() && !p.remoteAt.After(v.strongAt) && now.Sub(v.strongAt) < compareWait
-}
-
-// Summary sums up the pool for the homes of the service's other pools.
-func (p *Pool) Summary() Summary {
-	s := Summary{Latencies: make(map[site.RuleName][]float64), Recent: make(map[site.RuleName]float64)}
-	for _, v := range p.order {
-		s.Peers = append(s.Peers, Peer{v.cfg.Name, v.failRate, v.score(), v.trusted()})
-		if !v.trusted() {
-			continue
-		}
-		for rule, r := range v.rings {
-			s.Latencies[rule] = append(s.Latencies[rule], r.values()...)
-		}
-	}
-	for rule, ms := range s.Latencies {
-		s.Latencies[rule] = sketch(ms)
-		s.Recent[rule] = median(p.recents(nil, rule, nil))
-	}
-	return s
-}
-
-// sketch picks evenly spaced quantiles of values, which it sorts.
-func sketch(values []float64) []float64 {
-	if len(values) <= sketchSize {
-		return values
-	}
-	slices.Sort(values)
-	out := make([]float64, sketchSize)
-	for i := range out {
-		out[i] = values[(2*i+1)*len(values)/(2*sketchSize)]
-	}
-	return out
-}
--- a/pkg/pool/intent.go
+++ b/pkg/pool/intent.go
@@ -7,7 +7,7 @@
 )
 
 // Intent is something that the pool wants its home to do: Eject, Depart,
-// Restore, Reach or Compare. The home answers with Recorded, Spared, Restored or Reached.
+// Restore or Reach. The home answers with Recorded, Adopt or Reached.
 type Intent interface{ intent() }
 
 // Eject wants a doubted server's ejection recorded in the platform's table.
@@ -26,15 +26,11 @@
 // Restore wants the record of a server's ejection taken back.
 type Restore struct{ Server site.Server }
 
-// Compare wants fresh evidence from the service's other pools.
-type Compare struct{}
-
 // Reach wants a connection to a server that is down.
 type Reach struct{ Server site.Server }
 
 func (Eject) intent()   {}
 func (Depart) intent()  {}
-func (Compare) intent() {}
 func (Restore) intent() {}
 func (Reach) intent()   {}
 
@@ -42,9 +38,6 @@
 // writes to the table.
 const askAgain = 3 * time.Second
 
-// compareAgain is the rest between two wishes for fresh evidence.
-const compareAgain = 300 * time.Millisecond
-
 // Intents returns what is wanted now. recorded says which servers the table's
 // record of ejections names.
 func (p *Pool) Intents(now time.Time, recorded func(site.ServerName) bool) []Intent {
@@ -59,6 +52,10 @@
 
 // intent returns what is wanted for one server, or nil.
 func (p *Pool) intent(now time.Time, v *server, recorded bool) Intent {
+	if v.unsure != "" && !v.trying {
+		v.trying = true
+		return Reach{v.cfg}
+	}
 	switch v.state {
 	case Doubted:
 		if p.ask(now, v) {
@@ -84,10 +81,6 @@
 	if recorded && p.ask(now, v) {
 		return Restore{v.cfg}
 	}
-	if p.stale(now, v) && now.Sub(p.compared) >= compareAgain {
-		p.compared = now
-		return Compare{}
-	}
 	return nil
 }
 
@@ -154,16 +147,23 @@
 		return nil
 	}
 	v.trying = false
-	if v.state != Down {
+	why := v.unsure
+	v.unsure = ""
+	switch {
+	case ok && v.state == Down:
+		v.move(now, Warming, "it takes connections again")
+		return []Event{{n, Down, Warming, v.reason}}
+	case ok || v.state == Leaving || v.state == Held:
 		return nil
-	}
-	if !ok {
+	case v.state == Down:
 		v.passed++
 		v.nextTrial = now.Add(v.reachGap())
 		return nil
 	}
-	v.move(now, Warming, "it takes connections again")
-	return []Event{{n, Down, Warming, v.reason}}
+	from := v.state
+	v.move(now, Down, why)
+	v.nextTrial = now.Add(v.reachGap())
+	return []Event{{n, from, Down, why}}
 }
 
 // ServerView is what the pool believes of one server.
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -1,9 +1,9 @@
 // Package pool decides which backend server gets a request.
 //
-// A pool is a service's servers in one data centre. One VM at a time, its home,
-// owns the pool's slots, its queue and the evidence against its servers. The
-// package is pure: each deciding method takes the present time, nothing here
-// waits or sends, and one goroutine owns a Pool.
+// A pool is the servers of one service in a site. One VM at a time, its home,
+// owns the pool's slots, its queue, its retry budget and the evidence against
+// its servers. The package is pure: each deciding method takes the present
+// time, nothing here waits or sends, and one goroutine owns a Pool.
 package pool
 
 import (
@@ -15,35 +15,38 @@
 	"laburnumpick.org/pkg/site"
 )
 
-// ID names a pool.
-type ID struct {
-	Service    site.ServiceName
-	DataCentre site.DataCentre
-}
-
-// String returns service/dataCentre.
-func (id ID) String() string { return string(id.Service) + "/" + string(id.DataCentre) }
+// ID names a pool by its service.
+type ID site.ServiceName
 
 // Request is what a pool must know of a request.
 type Request struct {
-	Account  site.AccountName
-	Class    site.Class
-	Rule     site.RuleName
-	Deadline time.Time
-	Exclude  []site.ServerName // Servers that have already failed it.
-	MayQueue bool              // Other pools are full as well.
-	Suspect  bool              // It has taken a server down, so it runs apart from other such ones.
+	Account    site.AccountName
+	Class      site.Class
+	Rule       site.RuleName
+	DataCentre site.DataCentre // Of the VM that will send it.
+	Priority   int             // 0 is the most urgent.
+	Deadline   time.Time
+	Target     time.Time         // Until when an answer is in time; zero for no such time.
+	Exclude    []site.ServerName // Servers that have already failed it.
+	Sends      int               // Servers that it has been sent to.
+	Attempts   int               // Servers that it may be sent to in all; 0 for no bound.
+	Suspect    bool              // It has taken a server down, so it runs apart from other such ones.
 }
 
 // Decision is Granted, Waiting or Refused.
 type Decision interface{ decision() }
 
+// GrantID names a grant in its home.
+type GrantID int64
+
 // Granted gives a request a slot of a server. It ends with Release.
 type Granted struct {
+	ID       GrantID
 	Server   site.Server
 	Trial    bool // The request tries a server that is not trusted yet.
 	Suspect  bool
 	Patience time.Duration // How long the server may stay silent.
+	More     bool          // The request may be sent to another server after this one.
 }
 
 // Waiting puts a request into the queue. Wake or Forget ends it.
@@ -52,8 +55,8 @@
 // Refused means that the request was not run.
 type Refused struct {
 	Kind       outcome.Kind
+	Detail     string
 	RetryAfter time.Duration
-	Queued     int // Requests in the queue.
 }
 
 func (Granted) decision() {}
@@ -62,103 +65,179 @@
 
 // Bounds of waiting and patience.
 const (
-	queuePerSlot  = 4
+	maxQueue      = 4096 // Requests, which bounds the memory of a queue.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
 	minPatience   = 100 * time.Millisecond
 	maxPatience   = 5 * time.Second
-	patienceRatio = 10 // Times the peers' median.
 	firstGuess    = 50 * time.Millisecond
+
+	patienceRatio = 4   // Times the median of the answers' times.
+	trialPatience = 2.5 // The same for the trial of a server.
+	againRatio    = 1.3 // Times the median that must be left for another server.
+	// runRatio is the share of the median run that must be left for a request to
+	// be sent at all. Less than one in ten runs is shorter.
+	runRatio = 0.6
 )
 
+// Settings are what a pool's service and site ask of it.
+type Settings struct {
+	Sureness site.Sureness
+	// Floor returns how many of n servers must stay in use.
+	Floor func(n int) int
+	Retry RetryLimits
+}
+
 // Pool is the state of one pool in its home.
 type Pool struct {
-	id       ID
-	sureness site.Sureness
-	servers  map[site.ServerName]*server
-	order    []*server // In order of names.
-	queue    queue
-	remote   []Summary // The service's other pools.
-	compared time.Time // When fresh evidence was last wanted.
-	remoteAt time.Time // Since when the oldest of remote is known.
-	meanMs   float64   // Moving mean of the time that a request holds a slot.
-	seq      int64     // Counts grants, to rotate among equal servers.
+	id      ID
+	set     Settings
+	servers map[site.ServerName]*server
+	order   []*server // In order of names.
+	queue   queue
+	budget  budget
+	grants  map[GrantID]*outstanding
+	meanMs  float64 // Moving mean of the time that a request holds a slot.
+	seq     GrantID // Counts grants, to rotate among equal servers.
+	// repeatableAt is when the last repeatable request came.
+	repeatableAt time.Time
+}
+
+// outstanding is a grant that has not been released.
+type outstanding struct {
+	grant   Granted
+	holder  *server
+	expires time.Time // When its VM is held for lost.
 }
 
-// New returns a pool without servers.
-func New(id ID, s site.Sureness) *Pool {
+// New returns a pool without servers. Grants of two homes of a pool must not be
+// mistaken for each other, so their ids begin at the present time.
+func New(now time.Time, id ID, set Settings) *Pool {
 	return &Pool{
-		id: id, sureness: s,
+		id: id, set: set,
 		servers: make(map[site.ServerName]*server),
 		queue:   newQueue(),
+		budget:  newBudget(set.Retry),
+		grants:  make(map[GrantID]*outstanding),
 		meanMs:  float64(firstGuess.Milliseconds()),
+		seq:     GrantID(now.UnixMicro()),
 	}
 }
 
 // ID returns the pool's name.
 func (p *Pool) ID() ID { return p.id }
 
-// Configure sets the pool's servers. A server that stays keeps its evidence.
-func (p *Pool) Configure(now time.Time, s site.Sureness, servers []site.Server) {
-	p.sureness = s
-	next := make(map[site.ServerName]*server, len(servers))
+// Member is a server with what its registration tells.
+type Member struct {
+	site.Server
+	Leaving  bool      // It ends soon and must get no new request.
+	ColdTill time.Time // Until when it is slow after its start.
+}
+
+// Configure sets the pool's servers. A server that stays keeps its evidence; one
+// that has started anew, or moved, has none.
+func (p *Pool) Configure(now time.Time, set Settings, members []Member) []Event {
+	p.set = set
+	p.budget.limits = set.Retry
+	var events []Event
+	next := make(map[site.ServerName]*server, len(members))
 	p.order = p.order[:0]
-	for _, cfg := range servers {
-		v, ok := p.servers[cfg.Name]
-		if !ok || v.cfg.Address != cfg.Address {
-			v = newServer(now, cfg)
+	for _, m := range members {
+		v, ok := p.servers[m.Name]
+		if !ok || v.cfg.Address != m.Address || v.cfg.StartedMs != m.StartedMs {
+			v = newServer(now, m.Server)
 		}
-		v.cfg = cfg
-		v.warm = min(v.warm, cfg.Slots)
+		v.cfg = m.Server
+		v.coldTill = m.ColdTill
+		v.warm = min(v.warm, m.Slots)
 		if v.state == Healthy {
-			v.warm = cfg.Slots
+			v.warm = m.Slots
 		}
-		next[cfg.Name] = v
+		next[m.Name] = v
 		p.order = append(p.order, v)
+		if m.Leaving {
+			events = append(events, p.depart(now, v, "it registered as leaving")...)
+		} else if v.departing && ok {
+			events = append(events, p.stay(now, v)...)
+		}
 	}
 	p.servers = next
 	slices.SortFunc(p.order, func(a, b *server) int { return cmp.Compare(a.cfg.Name, b.cfg.Name) })
+	return events
 }
 
 // Admit decides on a request that has just come.
 func (p *Pool) Admit(now time.Time, r Request) Decision {
-	if !now.Before(r.Deadline) {
-		return Refused{Kind: outcome.DeadlinePassed, RetryAfter: minRetryAfter}
+	if r.Class == site.Repeatable {
+		p.repeatableAt = now
+	}
+	if r.Sends == 0 {
+		p.budget.earn(now)
+	}
+	if refused, stop := p.barred(now, r); stop {
+		return refused
 	}
 	if v := p.trial(now, r); v != nil {
-		return p.grant(v, r, true)
+		return p.grant(now, v, r, true)
 	}
 	if v := p.choose(now, r, false); v != nil {
-		return p.grant(v, r, false)
-	}
-	wait := p.expectedWait(now)
-	if !r.MayQueue {
-		return p.refuse(wait)
+		return p.grant(now, v, r, false)
 	}
+	wait := p.expectedWait(now, r)
 	if !p.usable(r) || wait > r.Deadline.Sub(now)/2 {
 		if v := p.choose(now, r, true); v != nil {
-			return p.grant(v, r, false)
+			return p.grant(now, v, r, false)
 		}
 	}
 	return p.enqueue(now, r, wait)
 }
 
+// barred refuses a request that must not be sent, or no longer can be of use.
+func (p *Pool) barred(now time.Time, r Request) (Refused, bool) {
+	switch {
+	case !now.Before(r.Deadline):
+		return Refused{Kind: outcome.DeadlinePassed, Detail: "the deadline has passed", RetryAfter: minRetryAfter}, true
+	case r.Attempts > 0 && r.Sends >= r.Attempts:
+		return Refused{Kind: outcome.Overload, Detail: "the route allows no other server", RetryAfter: p.pause(now)}, true
+	case r.Sends > 0 && !p.budget.may(now):
+		return Refused{Kind: outcome.Overload, Detail: "the service's retry budget is spent", RetryAfter: p.pause(now)}, true
+	case r.Deadline.Sub(now) < p.leastRun(r.Rule):
+		return Refused{Kind: outcome.Overload, Detail: "too little time is left for a run", RetryAfter: p.pause(now)}, true
+	}
+	return Refused{}, false
+}
+
+// leastRun is the time that must be left for a request to be worth sending.
+func (p *Pool) leastRun(rule site.RuleName) time.Duration {
+	return scale(p.median(rule, nil), runRatio)
+}
+
+// pause is when a caller may come back where the queue does not tell.
+func (p *Pool) pause(now time.Time) time.Duration {
+	return min(max(p.expectedWait(now, Request{}), minRetryAfter), maxRetryAfter)
+}
+
 func (p *Pool) enqueue(now time.Time, r Request, wait time.Duration) Decision {
 	if !p.usable(r) {
-		return Refused{Kind: outcome.NoServer, RetryAfter: time.Second, Queued: p.queue.len()}
+		return Refused{Kind: outcome.NoServer, Detail: "no server of the service can be used", RetryAfter: time.Second}
 	}
-	if wait > r.Deadline.Sub(now) {
+	if p.tooLong(now, r, wait) && !p.queue.evictFor(r) {
 		return p.refuse(wait)
 	}
-	if p.queue.len() >= queuePerSlot*max(1, p.slots()) && !p.queue.evictFor(r.Account) {
+	if p.queue.len() >= maxQueue {
 		return p.refuse(wait)
 	}
 	return Waiting{p.queue.push(r)}
 }
 
+// tooLong reports whether a request cannot be run in time after a wait.
+func (p *Pool) tooLong(now time.Time, r Request, wait time.Duration) bool {
+	return wait+p.leastRun(r.Rule) > r.Deadline.Sub(now)
+}
+
 func (p *Pool) refuse(wait time.Duration) Refused {
 	back := min(max(wait, minRetryAfter), maxRetryAfter)
-	return Refused{Kind: outcome.Overload, RetryAfter: back, Queued: p.queue.len()}
+	return Refused{Kind: outcome.Overload, Detail: "no slot of a server is free in time", RetryAfter: back}
 }
 
 // slots returns how many requests the trusted servers run at once.
@@ -180,13 +259,12 @@
 }
 
 // expectedWait estimates how long a request would wait in the queue.
-func (p *Pool) expectedWait(now time.Time) time.Duration {
+func (p *Pool) expectedWait(now time.Time, r Request) time.Duration {
 	slots := p.slots()
 	if slots == 0 {
 		return time.Second
 	}
-	ms := p.meanMs * float64(p.queue.len()+1) / float64(slots)
-	wait := time.Duration(ms * float64(time.Millisecond))
+	wait := p.waitBehind(p.queue.ahead(r), slots)
 	for _, v := range p.order {
 		if v.trusted() && v.pausedUntil.After(now) {
 			wait += v.pausedUntil.Sub(now) / time.Duration(len(p.order))
@@ -195,28 +273,42 @@
 	return wait
 }
 
-// choose picks the server with the smallest share of its slots in use, then
-// the one that has rested longest. Evidence short of a doubt does not count:
-// a server that got less work for it would never be proved sick or well. With
-// lastResort, doubted servers are picked as well.
+// waitBehind is the wait for a slot behind n other requests.
+func (p *Pool) waitBehind(n, slots int) time.Duration {
+	return scale(p.meanMs, float64(n+1)/float64(slots))
+}
+
+// choose picks a server with a free slot. With lastResort, doubted servers are
+// picked as well.
 func (p *Pool) choose(now time.Time, r Request, lastResort bool) *server {
 	var best *server
 	for _, v := range p.order {
 		if !v.open(now, lastResort) || slices.Contains(r.Exclude, v.cfg.Name) || (r.Suspect && v.suspect) {
 			continue
 		}
-		if best == nil || v.before(best) {
+		if best == nil || v.before(now, best, r.DataCentre) {
 			best = v
 		}
 	}
 	return best
 }
 
-// before orders servers for choose.
-func (v *server) before(o *server) bool {
+// before orders servers for choose: those that are trusted and warm, then those
+// in the sender's data centre that have more than one slot free, since bytes
+// between data centres are dear, then those with the smallest share of their
+// slots in use, then the one that has rested longest. Evidence short of a doubt
+// does not count: a server that got less work for it would never be proved sick
+// or well.
+func (v *server) before(now time.Time, o *server, near site.DataCentre) bool {
 	if v.trusted() != o.trusted() {
 		return v.trusted()
 	}
+	if v.cold(now) != o.cold(now) {
+		return o.cold(now)
+	}
+	if a, b := v.roomyIn(near), o.roomyIn(near); a != b {
+		return a
+	}
 	if c := cmp.Compare(v.inUse*o.warm, o.inUse*v.warm); c != 0 {
 		return c < 0
 	}
@@ -224,42 +316,62 @@
 }
 
 // trial picks a server that is due to be tried. Only repeatable requests with
-// time for another try are used.
+// time for another server are used.
 func (p *Pool) trial(now time.Time, r Request) *server {
-	if r.Class != site.Repeatable || len(r.Exclude) > 0 || r.Suspect {
+	if r.Class != site.Repeatable || r.Sends > 0 || r.Suspect || r.Attempts == 1 || !p.budget.may(now) {
 		return nil
 	}
-	if r.Deadline.Sub(now) < 4*p.patience(r.Rule, nil) {
+	m := p.median(r.Rule, nil)
+	if r.Deadline.Sub(now) < scale(m, trialPatience+againRatio) {
 		return nil
 	}
 	for _, v := range p.order {
-		if v.trialDue(now) {
+		if v.trialDue(now) && !slices.Contains(r.Exclude, v.cfg.Name) {
 			return v
 		}
 	}
 	return nil
 }
 
-func (p *Pool) grant(v *server, r Request, trial bool) Granted {
+func (p *Pool) grant(now time.Time, v *server, r Request, trial bool) Granted {
 	p.seq++
 	v.inUse++
 	v.lastGrant = p.seq
 	v.trying = v.trying || trial
 	v.suspect = v.suspect || r.Suspect
-	return Granted{Server: v.cfg, Trial: trial, Suspect: r.Suspect, Patience: p.patience(r.Rule, v)}
+	if r.Sends > 0 {
+		p.budget.spend(now)
+	}
+	g := Granted{
+		ID: p.seq, Server: v.cfg, Trial: trial, Suspect: r.Suspect,
+		More: r.Class == site.Repeatable && (r.Attempts == 0 || r.Sends+1 < r.Attempts) && p.budget.may(now),
+	}
+	g.Patience = p.patience(now, r, v, trial)
+	p.grants[g.ID] = &outstanding{g, v, r.Deadline.Add(grantGrace)}
+	return g
 }
 
+// grantGrace is how long after its request's deadline a grant counts as held.
+const grantGrace = 500 * time.Millisecond
+
 // patience returns how long a server may stay silent before the request is
-// tried elsewhere.
-func (p *Pool) patience(rule site.RuleName, v *server) time.Duration {
-	m := p.peersMedian(rule, v)
-	if m <= 0 {
-		m = p.meanMs
-	}
-	d := time.Duration(m * patienceRatio * float64(time.Millisecond))
-	return min(max(d, minPatience), maxPatience)
+// sent elsewhere. Time must be left for that.
+func (p *Pool) patience(now time.Time, r Request, v *server, trial bool) time.Duration {
+	m := p.median(r.Rule, v)
+	ratio := float64(patienceRatio)
+	if trial {
+		ratio = trialPatience
+	}
+	d := min(max(scale(m, ratio), minPatience), maxPatience)
+	if most := r.Deadline.Sub(now) - scale(m, againRatio); most > minPatience {
+		d = min(d, most)
+	}
+	return d
 }
 
+// scale returns a multiple of a time in milliseconds.
+func scale(ms, by float64) time.Duration { return time.Duration(ms * by * float64(time.Millisecond)) }
+
 // Forget takes a request out of the queue.
 func (p *Pool) Forget(t Ticket) { p.queue.remove(t) }
 
@@ -269,26 +381,77 @@
 	Decision Decision // Granted or Refused.
 }
 
-// Wake hands free slots to waiting requests, in turn between accounts, and
-// refuses those that cannot be served in time.
+// Wake hands free slots to waiting requests in the queue's order, and refuses
+// those that cannot be served in time any more.
 func (p *Pool) Wake(now time.Time) []Wakeup {
 	var out []Wakeup
 	for _, t := range p.queue.evicted() {
-		out = append(out, Wakeup{t, p.refuse(p.expectedWait(now))})
-	}
-	for _, w := range p.queue.overdue(now) {
-		out = append(out, Wakeup{w, p.refuse(p.expectedWait(now))})
-	}
-	for {
-		var chosen *server
-		w, ok := p.queue.pop(func(r Request) bool {
-			lastResort := !p.usable(r)
-			chosen = p.choose(now, r, lastResort)
-			return chosen != nil
-		})
-		if !ok {
-			return out
+		out = append(out, Wakeup{t, p.refuse(p.expectedWait(now, Request{}))})
+	}
+	if p.queue.len() == 0 {
+		return out
+	}
+	late := func(r Request) bool { return p.late(now, r) }
+	place, slots := 0, max(1, p.slots())
+	for _, w := range p.queue.inOrder(late) {
+		if v := p.choose(now, w.request, !p.usable(w.request)); v != nil {
+			p.queue.serve(w)
+			out = append(out, Wakeup{w.ticket, p.grant(now, v, w.request, false)})
+			continue
+		}
+		if wait := p.waitBehind(place, slots); p.tooLong(now, w.request, wait-p.waitBehind(0, slots)) {
+			p.queue.remove(w.ticket)
+			out = append(out, Wakeup{w.ticket, p.refuse(wait)})
+			continue
 		}
-		out = append(out, Wakeup{w.ticket, p.grant(chosen, w.request, false)})
+		place++
+	}
+	return out
+}
+
+// late reports whether a request that is sent now will most likely miss its
+// target.
+func (p *Pool) late(now time.Time, r Request) bool {
+	return !r.Target.IsZero() && now.Add(scale(p.median(r.Rule, nil), 1)).After(r.Target)
+}
+
+// Tick takes back the grants whose VMs are held for lost and lets servers back
+// that cannot be tried, and returns what changed.
+func (p *Pool) Tick(now time.Time) []Event {
+	var events []Event
+	for _, o := range p.grants {
+		if now.After(o.expires) {
+			events = append(events, p.Release(now, o.grant, Dropped{})...)
+		}
+	}
+	if now.Sub(p.repeatableAt) < repeatableMemory {
+		return events
+	}
+	for _, v := range p.order {
+		if (v.state == Doubted || v.state == Ejected) && !now.Before(v.nextTrial) {
+			events = append(events, p.parole(now, v))
+		}
+	}
+	return events
+}
+
+// repeatableMemory is how long after a repeatable request more are expected.
+const repeatableMemory = time.Minute
+
+// parole lets a server back without a trial, since the service gets no request
+// that could be repeated. It has one slot, and fewer failures convict it.
+func (p *Pool) parole(now time.Time, v *server) Event {
+	from := v.state
+	v.move(now, Warming, "its time is over, and no request may try it")
+	v.failScore = float64(p.set.Sureness) * commonScore
+	return Event{v.cfg.Name, from, Warming, v.reason}
+}
+
+// Grant returns a grant that has not been released.
+func (p *Pool) Grant(id GrantID) (Granted, bool) {
+	o, ok := p.grants[id]
+	if !ok {
+		return Granted{}, false
 	}
+	return o.grant, true
 }
--- a/pkg/pool/queue.go
+++ b/pkg/pool/queue.go
@@ -1,8 +1,8 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
-	"time"
 
 	"laburnumpick.org/pkg/site"
 )
@@ -16,114 +16,154 @@
 	request Request
 }
 
-// queue holds waiting requests, first come first served within an account and
-// in turn between accounts.
+// queue holds waiting requests. Its order is: the more urgent first; among
+// equals those that can still be answered in time; then accounts in turn; then
+// first come, first served.
 type queue struct {
 	next    Ticket
-	n       int
-	turns   []site.AccountName // Accounts with waiters, the next in turn first.
-	waiters map[site.AccountName][]waiter
+	waiters []waiter // In order of tickets.
+	served  map[site.AccountName]Ticket
+	turns   Ticket
 	thrown  []Ticket
 }
 
-func newQueue() queue {
-	return queue{waiters: make(map[site.AccountName][]waiter)}
-}
+func newQueue() queue { return queue{served: make(map[site.AccountName]Ticket)} }
 
-func (q *queue) len() int { return q.n }
+func (q *queue) len() int { return len(q.waiters) }
 
 func (q *queue) push(r Request) Ticket {
 	q.next++
-	if len(q.waiters[r.Account]) == 0 {
-		q.turns = append(q.turns, r.Account)
-	}
-	q.waiters[r.Account] = append(q.waiters[r.Account], waiter{q.next, r})
-	q.n++
+	q.waiters = append(q.waiters, waiter{q.next, r})
 	return q.next
 }
 
-// pop takes out the first request in turn that can be served.
-func (q *queue) pop(can func(Request) bool) (waiter, bool) {
-	for _, a := range q.turns {
-		for i, w := range q.waiters[a] {
-			if !can(w.request) {
-				continue
-			}
-			q.cut(a, i)
-			q.toBack(a)
-			return w, true
-		}
+// place is a waiter with its place among its account's waiters.
+type place struct {
+	waiter
+	late bool
+	rank int
+}
+
+// inOrder returns the waiters in the order in which they are served.
+func (q *queue) inOrder(late func(Request) bool) []waiter {
+	places := make([]place, len(q.waiters))
+	ranks := make(map[site.AccountName]int)
+	for i, w := range q.waiters {
+		places[i] = place{w, late(w.request), ranks[w.request.Account]}
+		ranks[w.request.Account]++
+	}
+	slices.SortFunc(places, func(a, b place) int {
+		return cmp.Or(
+			cmp.Compare(a.request.Priority, b.request.Priority),
+			cmp.Compare(order(a.late), order(b.late)),
+			cmp.Compare(a.rank, b.rank),
+			cmp.Compare(q.served[a.request.Account], q.served[b.request.Account]),
+			cmp.Compare(a.ticket, b.ticket),
+		)
+	})
+	out := make([]waiter, len(places))
+	for i := range places {
+		out[i] = places[i].waiter
 	}
-	return waiter{}, false
+	return out
 }
 
-func (q *queue) remove(t Ticket) {
-	for a, ws := range q.waiters {
-		i := slices.IndexFunc(ws, func(w waiter) bool { return w.ticket == t })
-		if i >= 0 {
-			q.cut(a, i)
-			return
-		}
+func order(b bool) int {
+	if b {
+		return 1
 	}
+	return 0
 }
 
-// evictFor makes room for a request of account a: the newest request of the
-// account with the most waiters goes, if that account has at least two more
-// than a. It reports whether there is room.
-func (q *queue) evictFor(a site.AccountName) bool {
-	heavy, most := a, len(q.waiters[a])+1
-	for _, b := range q.turns {
-		if n := len(q.waiters[b]); n > most {
-			heavy, most = b, n
+// ahead counts the waiters that a new request would wait behind: all that are
+// more urgent, and of its equals as many of each account as it has itself.
+func (q *queue) ahead(r Request) int {
+	own := 0
+	counts := make(map[site.AccountName]int)
+	n := 0
+	for _, w := range q.waiters {
+		switch {
+		case w.request.Priority < r.Priority:
+			n++
+		case w.request.Priority > r.Priority:
+		case w.request.Account == r.Account:
+			own++
+		default:
+			counts[w.request.Account]++
 		}
 	}
-	if heavy == a {
-		return false
+	for _, c := range counts {
+		n += min(c, own+1)
 	}
-	last := len(q.waiters[heavy]) - 1
-	q.thrown = append(q.thrown, q.waiters[heavy][last].ticket)
-	q.cut(heavy, last)
-	return true
+	return n + own
 }
 
-// evicted returns the tickets that evictFor threw out since the last call.
-func (q *queue) evicted() []Ticket {
-	t := q.thrown
-	q.thrown = nil
-	return t
+// serve takes out a request that got a slot.
+func (q *queue) serve(w waiter) {
+	q.turns++
+	q.served[w.request.Account] = q.turns
+	q.remove(w.ticket)
 }
 
-// overdue takes out the requests whose deadline has passed.
-func (q *queue) overdue(now time.Time) []Ticket {
-	var late []Ticket
-	for _, ws := range q.waiters {
-		for _, w := range ws {
-			if !now.Before(w.request.Deadline) {
-				late = append(late, w.ticket)
-			}
-		}
+func (q *queue) remove(t Ticket) {
+	i, found := slices.BinarySearchFunc(q.waiters, t, func(w waiter, t Ticket) int { return cmp.Compare(w.ticket, t) })
+	if !found {
+		return
 	}
-	slices.Sort(late)
-	for _, t := range late {
-		q.remove(t)
+	account := q.waiters[i].request.Account
+	q.waiters = slices.Delete(q.waiters, i, i+1)
+	left := func(w waiter) bool { return w.request.Account == account }
+	if !slices.ContainsFunc(q.waiters, left) {
+		delete(q.served, account)
 	}
-	return late
 }
 
-func (q *queue) cut(a site.AccountName, i int) {
-	q.waiters[a] = slices.Delete(q.waiters[a], i, i+1)
-	q.n--
-	if len(q.waiters[a]) == 0 {
-		delete(q.waiters, a)
-		q.turns = slices.DeleteFunc(q.turns, func(b site.AccountName) bool { return b == a })
+// evictFor makes room for a request by throwing out the last waiter of less
+// urgent ones, or else of the account that waits most, if that waits with more
+// than the request's own would.
+func (q *queue) evictFor(r Request) bool {
+	last := -1
+	for i, w := range q.waiters {
+		if w.request.Priority > r.Priority && (last < 0 || w.request.Priority >= q.waiters[last].request.Priority) {
+			last = i
+		}
+	}
+	if last < 0 {
+		last = q.lastOfGreediest(r)
+	}
+	if last < 0 {
+		return false
 	}
+	t := q.waiters[last].ticket
+	q.thrown = append(q.thrown, t)
+	q.remove(t)
+	return true
 }
 
-// toBack moves an account to the end of the turns.
-func (q *queue) toBack(a site.AccountName) {
-	i := slices.Index(q.turns, a)
-	if i < 0 {
-		return
+// lastOfGreediest returns the place of the last waiter of the account that
+// waits with most requests of the same urgency, or -1.
+func (q *queue) lastOfGreediest(r Request) int {
+	counts := make(map[site.AccountName]int)
+	lasts := make(map[site.AccountName]int)
+	for i, w := range q.waiters {
+		if w.request.Priority == r.Priority {
+			counts[w.request.Account]++
+			lasts[w.request.Account] = i
+		}
 	}
-	q.turns = append(slices.Delete(q.turns, i, i+1), a)
+	last, most := -1, counts[r.Account]+1
+	for i, w := range q.waiters {
+		a := w.request.Account
+		if lasts[a] == i && counts[a] > most {
+			last, most = i, counts[a]
+		}
+	}
+	return last
+}
+
+// evicted returns the waiters that were thrown out since the last call.
+func (q *queue) evicted() []Ticket {
+	t := q.thrown
+	q.thrown = nil
+	return t
 }
--- a/pkg/pool/report.go
+++ b/pkg/pool/report.go
@@ -34,7 +34,8 @@
 	Took time.Duration
 }
 
-// Unreached means that no connection to the server could be opened.
+// Unreached means that no connection to the server could be opened from the VM
+// that had the grant.
 type Unreached struct {
 	Detail  string
 	Crashed bool // It went down while it ran the request.
@@ -54,6 +55,8 @@
 	Shed  Refusal = "shed"
 	Drain Refusal = "drain"
 	Cold  Refusal = "cold"
+	// Moved means that another server answered at the address.
+	Moved Refusal = "moved"
 )
 
 // Event is a change of a server's state, for the journal.
@@ -66,10 +69,12 @@
 
 // Release ends a grant and takes its report as evidence.
 func (p *Pool) Release(now time.Time, g Granted, r Report) []Event {
-	v, ok := p.servers[g.Server.Name]
+	o, ok := p.grants[g.ID]
 	if !ok {
 		return nil
 	}
+	delete(p.grants, g.ID)
+	v := o.holder
 	v.inUse = max(0, v.inUse-1)
 	if g.Trial {
 		v.trying = false
@@ -78,11 +83,20 @@
 		v.suspect = false
 	}
 	before := v.state
+	p.weigh(now, v, r, g.Trial)
+	if v.state == before || p.servers[v.cfg.Name] != v {
+		return nil
+	}
+	return []Event{{v.cfg.Name, before, v.state, v.reason}}
+}
+
+// weigh takes a report as evidence.
+func (p *Pool) weigh(now time.Time, v *server, r Report, trial bool) {
 	switch r := r.(type) {
 	case Served:
-		p.served(now, v, r, g.Trial)
+		p.served(now, v, r, trial)
 	case Failed:
-		p.failed(now, v, r, g.Trial)
+		p.failed(now, v, r, trial)
 	case Declined:
 		p.declined(now, v, r.Why)
 	case Dropped:
@@ -90,20 +104,18 @@
 	case Unreached:
 		p.unreached(now, v, r)
 	}
-	if v.state == before {
-		return nil
-	}
-	return []Event{{v.cfg.Name, before, v.state, v.reason}}
 }
 
 func (p *Pool) served(now time.Time, v *server, r Served, trial bool) {
 	slow := p.tooSlow(v, r.Rule, r.Took)
 	ms := milliseconds(r.Took)
 	v.addFailure(false, p.peersFailRate(v))
-	if rank, ok := p.rank(v, r.Rule, ms); ok {
+	if rank, ok := p.rank(v, r.Rule, ms); ok && !v.cold(now) {
 		v.addRank(rank)
 	}
-	v.keep(r.Rule, ms)
+	if !v.cold(now) {
+		v.keep(r.Rule, ms)
+	}
 	if v.trusted() {
 		p.meanMs += (ms - p.meanMs) / 32
 	}
@@ -112,7 +124,7 @@
 		return
 	}
 	p.judge(now, v, r.Rule, func() string {
-		return fmt.Sprintf("its last answer took %.0f ms, its peers' median is %.0f ms", ms, p.peersMedian(r.Rule, v))
+		return fmt.Sprintf("its last answer took %.0f ms, its peers' median is %.0f ms", ms, p.median(r.Rule, v))
 	})
 	if v.state == Warming {
 		p.warmUp(now, v)
@@ -142,12 +154,11 @@
 // judge doubts a trusted server whose score has passed the threshold, unless
 // its peers get worse as well.
 func (p *Pool) judge(now time.Time, v *server, rule site.RuleName, detail func() string) {
-	limit := float64(p.sureness)
-	p.watch(now, v)
-	if !v.trusted() || v.score() < limit || p.stale(now, v) {
+	limit := float64(p.set.Sureness)
+	if !v.trusted() || v.score() < limit {
 		return
 	}
-	if p.commonCause(v) || (v.failScore < limit && !p.stillSlow(v, rule)) {
+	if !p.mayDoubt() || p.commonCause(v) || (v.failScore < limit && !p.stillSlow(v, rule)) {
 		v.failScore = min(v.failScore, limit*commonScore)
 		v.slowScore = min(v.slowScore, limit*commonScore)
 		return
@@ -189,6 +200,20 @@
 	}
 }
 
+// mayDoubt reports whether the service keeps its floor with one server less.
+func (p *Pool) mayDoubt() bool {
+	trusted, all := 0, 0
+	for _, v := range p.order {
+		if v.trusted() {
+			trusted++
+		}
+		if v.state != Leaving && v.state != Down && v.state != Held {
+			all++
+		}
+	}
+	return p.set.Floor == nil || trusted-1 >= p.set.Floor(all)
+}
+
 func (p *Pool) declined(now time.Time, v *server, why Refusal) {
 	switch why {
 	case Shed:
@@ -200,19 +225,44 @@
 			v.move(now, Leaving, "it drains")
 			v.nextTrial = now.Add(leavingRecheck)
 		}
+	case Moved:
+		p.depart(now, v, "another server has its address")
 	}
 }
 
+// unreached takes in that a VM could not open a connection. The link may be
+// cut for that VM alone, so the home looks for itself unless the server is known
+// to have gone down.
 func (p *Pool) unreached(now time.Time, v *server, r Unreached) {
-	if v.state == Held {
-		return
+	switch {
+	case v.state == Held || v.state == Leaving:
+	case r.Crashed:
+		v.move(now, Down, "it went down during a request")
+		v.nextTrial = now.Add(v.reachGap())
+	case v.state != Down:
+		v.unsure = "no connection: " + r.Detail
+	}
+}
+
+// depart takes a server out that registered as leaving.
+func (p *Pool) depart(now time.Time, v *server, reason string) []Event {
+	v.departing = true
+	if v.state == Leaving || v.state == Held {
+		return nil
 	}
-	reason := "no connection: " + r.Detail
-	if r.Crashed {
-		reason = "it went down during a request"
+	from := v.state
+	v.move(now, Leaving, reason)
+	return []Event{{v.cfg.Name, from, Leaving, reason}}
+}
+
+// stay takes a server back that had registered as leaving.
+func (p *Pool) stay(now time.Time, v *server) []Event {
+	v.departing = false
+	if v.state != Leaving {
+		return nil
 	}
-	v.move(now, Down, reason)
-	v.nextTrial = now.Add(v.reachGap())
+	v.move(now, Warming, "it registered as staying")
+	return []Event{{v.cfg.Name, Leaving, Warming, v.reason}}
 }
 
 // MarkLeaving takes a server out that somebody said is leaving.
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -46,16 +46,18 @@
 	state       State
 	since       time.Time // When the state began.
 	inUse       int
-	warm        int   // Slots that are open.
-	lastGrant   int64 // The pool's count of grants at the last one.
+	warm        int     // Slots that are open.
+	lastGrant   GrantID // The last one that it got.
 	pausedUntil time.Time
+	coldTill    time.Time // Until when it is slow after its start.
+	departing   bool      // It registered as leaving.
 
 	detector
-	strongAt  time.Time // When the case against it became strong.
 	reason    string    // Why it is not healthy.
 	strikes   int       // How often it was doubted lately.
 	struckAt  time.Time // When it was last doubted.
 	nextTrial time.Time
+	unsure    string    // Why a VM could not reach it, until the home has looked.
 	suspect   bool      // It runs a request that has taken a server down.
 	trying    bool      // A trial or a check of its reach is on its way.
 	passed    int       // Good trials, or good answers while warming.
@@ -77,9 +79,18 @@
 	return v.inUse < v.warm && !v.pausedUntil.After(now)
 }
 
+// cold reports whether the server is slow after its start.
+func (v *server) cold(now time.Time) bool { return v.coldTill.After(now) }
+
+// roomyIn reports whether the server is in a data centre and would have a slot
+// free beside that of one more request.
+func (v *server) roomyIn(dc site.DataCentre) bool {
+	return dc != "" && v.cfg.DataCentre == dc && v.inUse+1 < max(2, v.warm)
+}
+
 // trialDue reports whether a repeatable request should try the server now.
 func (v *server) trialDue(now time.Time) bool {
-	onTrial := v.state == Doubted || v.state == Ejected || v.state == Leaving
+	onTrial := v.state == Doubted || v.state == Ejected || (v.state == Leaving && !v.departing)
 	return onTrial && !v.trying && v.inUse < v.warm && !now.Before(v.nextTrial)
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -23,8 +23,9 @@
 	VM       VM       `yaml:"vm"`
 	Listen   Listen   `yaml:"listen"`
 	Platform Platform `yaml:"platform"`
-	Nearest  []string `yaml:"nearest"`
 	Limits   Limits   `yaml:"limits"`
+	Retry    Retry    `yaml:"retry"`
+	Callers  Callers  `yaml:"callers"`
 	Stop     Stop     `yaml:"stop"`
 	Access   Access   `yaml:"access"`
 	Trace    Trace    `yaml:"trace"`
@@ -44,12 +45,45 @@
 	VMs         string `yaml:"vms"`
 	Operators   string `yaml:"operators"`
 	Advertise   string `yaml:"advertise"`   // Host that other VMs use; the default is that of vms.
+	Health      string `yaml:"health"`      // Where the balancer asks for this VM's health, besides the callers' address.
+	Metrics     string `yaml:"metrics"`     // Where metrics are served without a token, if anywhere.
 	AddressFile string `yaml:"addressFile"` // Where the addresses in use are written, if anywhere.
 }
 
 // Platform says where the platform's services are.
 type Platform struct {
 	URL string `yaml:"url"` // "embedded" for a store in this process's memory.
+	// Kind is what the platform speaks: "own" for laburnumpick's own interface,
+	// "tables" for tables with feeds, where servers register themselves.
+	Kind string `yaml:"kind"`
+	// DataCentres are those of the site, where the platform does not tell.
+	DataCentres []string `yaml:"dataCentres"`
+	// FloorShare is the share of each service's servers that must stay in use,
+	// where servers register themselves.
+	FloorShare float64 `yaml:"floorShare"`
+	// Sureness is how sure the fleet must be before it takes such a server out of
+	// use.
+	Sureness float64 `yaml:"sureness"`
+}
+
+// Kinds of platforms.
+const (
+	KindOwn    = "own"
+	KindTables = "tables"
+)
+
+// Retry bounds how often requests are sent to more than one server.
+type Retry struct {
+	Ratio  float64       `yaml:"ratio"`  // Such sendings for each request to a service.
+	Slack  int           `yaml:"slack"`  // Such sendings in a window beside the ratio's.
+	Window time.Duration `yaml:"window"` // Any span of this length.
+}
+
+// Callers says how callers are told.
+type Callers struct {
+	// FractionalRetryAfter writes Retry-After with fractions of a second, for
+	// callers that read them.
+	FractionalRetryAfter bool `yaml:"fractionalRetryAfter"`
 }
 
 // Limits bound what the VM takes.
@@ -76,6 +110,33 @@
 type Stop struct {
 	BalancerLag time.Duration `yaml:"balancerLag"`
 	Patience    time.Duration `yaml:"patience"`
+	// Grace, if set, is the time from the signal to the end of the process by
+	// force; the other two then follow from it.
+	Grace time.Duration `yaml:"grace"`
+}
+
+// StopTimes are the parts of a planned stop, one after the other.
+type StopTimes struct {
+	LastAnswers time.Duration // Until connections end with their next answer.
+	Idle        time.Duration // Then until resting connections are closed.
+	Rest        time.Duration // Then for what is still under way.
+}
+
+// Parts of the grace time. The balancer needs some seconds to take the VM out;
+// the longest request that came before that must still be able to end.
+const (
+	graceLastAnswers = 0.50
+	graceIdle        = 0.23
+	graceRest        = 0.22
+)
+
+// Times returns the parts of a planned stop.
+func (s Stop) Times() StopTimes {
+	if s.Grace == 0 {
+		return StopTimes{LastAnswers: 0, Idle: s.BalancerLag, Rest: s.Patience}
+	}
+	part := func(share float64) time.Duration { return time.Duration(share * float64(s.Grace)) }
+	return StopTimes{LastAnswers: part(graceLastAnswers), Idle: part(graceIdle), Rest: part(graceRest)}
 }
 
 // Access says who may call.
@@ -106,7 +167,8 @@
 func Default() Settings {
 	return Settings{
 		Listen:   Listen{Callers: "127.0.0.1:8080", VMs: "127.0.0.1:8081", Operators: "127.0.0.1:8082"},
-		Platform: Platform{URL: Embedded},
+		Platform: Platform{URL: Embedded, Kind: KindOwn, FloorShare: 0.7, Sureness: 7},
+		Retry:    Retry{Ratio: 0.1, Slack: 10, Window: 10 * time.Second},
 		Limits: Limits{
 			BodyBytes: 1 << 20, WholeAnswerBytes: 1 << 20, HeaderBytes: 32 << 10, Requests: 2000,
 			SlowCaller: 10 * time.Second, VouchesPerSecond: 4, Connections: 10_000, ConnectionsFromOne: 2000,
@@ -267,7 +329,16 @@
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.vms", s.Listen.VMs)
 	c.address("listen.operators", s.Listen.Operators)
+	c.optionalAddress("listen.health", s.Listen.Health)
+	c.optionalAddress("listen.metrics", s.Listen.Metrics)
 	c.platform(s.Platform.URL)
+	c.kind(s.Platform)
+	between(c, "platform.floorShare", s.Platform.FloorShare, 0, 1)
+	between(c, "platform.sureness", s.Platform.Sureness, 3, 30)
+	between(c, "retry.ratio", s.Retry.Ratio, 0, 1)
+	between(c, "retry.slack", s.Retry.Slack, 0, 100_000)
+	between(c, "retry.window", s.Retry.Window, time.Second, 10*time.Minute)
+	between(c, "stop.grace", s.Stop.Grace, 0, time.Hour)
 	l := &s.Limits
 	between(c, "limits.bodyBytes", l.BodyBytes, 1, 32<<20)
 	between(c, "limits.wholeAnswerBytes", l.WholeAnswerBytes, 1, 32<<20)
@@ -301,6 +372,23 @@
 	}
 }
 
+func (c *checker) optionalAddress(key, v string) {
+	if v != "" {
+		c.address(key, v)
+	}
+}
+
+func (c *checker) kind(p Platform) {
+	switch {
+	case p.Kind != KindOwn && p.Kind != KindTables:
+		c.fail("platform.kind", "%q must be %q or %q", p.Kind, KindOwn, KindTables)
+	case p.Kind == KindTables && len(p.DataCentres) == 0:
+		c.fail("platform.dataCentres", "must name the site's data centres where the kind is %q", KindTables)
+	case p.Kind == KindTables && p.URL == Embedded:
+		c.fail("platform.url", "must be a URL where the kind is %q", KindTables)
+	}
+}
+
 func (c *checker) platform(v string) {
 	if v == Embedded {
 		return
--- a/pkg/site/codec.go
+++ b/pkg/site/codec.go
@@ -15,6 +15,7 @@
 	Site    *Site    `json:"site,omitempty" yaml:"site,omitempty"`
 	Service *Service `json:"service,omitempty" yaml:"service,omitempty"`
 	Rule    *Rule    `json:"rule,omitempty" yaml:"rule,omitempty"`
+	Route   *Route   `json:"route,omitempty" yaml:"route,omitempty"`
 	Account *Account `json:"account,omitempty" yaml:"account,omitempty"`
 }
 
@@ -27,6 +28,8 @@
 		return Document{Service: o}
 	case *Rule:
 		return Document{Rule: o}
+	case *Route:
+		return Document{Route: o}
 	case *Account:
 		return Document{Account: o}
 	default:
@@ -46,11 +49,14 @@
 	if d.Rule != nil {
 		found = append(found, d.Rule)
 	}
+	if d.Route != nil {
+		found = append(found, d.Route)
+	}
 	if d.Account != nil {
 		found = append(found, d.Account)
 	}
 	if len(found) != 1 {
-		return nil, errors.New("a document must hold just one of site, service, rule, account")
+		return nil, errors.New("a document must hold just one of site, service, rule, route, account")
 	}
 	return found[0], nil
 }
--- a/pkg/site/directory.go
+++ b/pkg/site/directory.go
@@ -16,6 +16,9 @@
 	hosts    *shards[ServiceName]
 	owners   *shards[ServiceName] // The service of each rule.
 	accounts *shards[*Account]
+
+	routes     *shards[[]*Route] // By host, the longest prefix first.
+	routeNames *shards[*Route]
 }
 
 // entry is a service with its rules.
@@ -31,6 +34,9 @@
 		hosts:    newShards[ServiceName](),
 		owners:   newShards[ServiceName](),
 		accounts: newShards[*Account](),
+
+		routes:     newShards[[]*Route](),
+		routeNames: newShards[*Route](),
 	}
 }
 
@@ -114,6 +120,9 @@
 			all = append(all, r)
 		}
 	}
+	for _, r := range d.Routes() {
+		all = append(all, r)
+	}
 	d.accounts.each(func(a *Account) { all = append(all, a) })
 	return all
 }
@@ -136,6 +145,8 @@
 		n.putService(o)
 	case *Rule:
 		n.putRule(o)
+	case *Route:
+		n.putRoute(o)
 	case *Account:
 		n.accounts = d.accounts.with(string(o.Name), o)
 	}
@@ -178,6 +189,11 @@
 		if left := len(e.routes.rules); left > 0 {
 			return nil, Fault{id, "rules", fmt.Sprintf("%d rules still name it; delete them first", left)}
 		}
+		for _, r := range d.Routes() {
+			if slices.ContainsFunc(r.Shares, func(s Share) bool { return string(s.Service) == id.Name }) {
+				return nil, Fault{id, "routes", fmt.Sprintf("route %q still names it; delete it first", r.Name)}
+			}
+		}
 		n.services = d.services.without(id.Name)
 		n.dropHosts(e.service)
 	case KindRule:
@@ -188,13 +204,19 @@
 		e, _ := d.services.get(string(owner))
 		n.services = d.services.with(string(owner), &entry{e.service, e.routes.without(RuleName(id.Name))})
 		n.owners = d.owners.without(id.Name)
+	case KindRoute:
+		r, ok := d.routeNames.get(id.Name)
+		if !ok {
+			return nil, missing(id)
+		}
+		n.dropRoute(r)
 	case KindAccount:
 		if d.Account(AccountName(id.Name)) == nil {
 			return nil, missing(id)
 		}
 		n.accounts = d.accounts.without(id.Name)
 	default:
-		return nil, Fault{id, "kind", "cannot be deleted; only services, rules and accounts can"}
+		return nil, Fault{id, "kind", "cannot be deleted; only services, rules, routes and accounts can"}
 	}
 	return &n, nil
 }
@@ -210,9 +232,13 @@
 		for _, h := range o.Hosts {
 			owner, taken := d.hosts.get(h)
 			c.check(!taken || owner == o.Name, "hosts", fmt.Sprintf("%q belongs to service %q", h, owner))
+			_, routed := d.routes.get(h)
+			c.check(!routed, "hosts", fmt.Sprintf("%q belongs to routes", h))
 		}
 	case *Rule:
 		d.ruleConflicts(&c, o)
+	case *Route:
+		d.routeConflicts(&c, o)
 	case *Account:
 	}
 	return c.faults
--- a/pkg/site/objects.go
+++ b/pkg/site/objects.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"strings"
 	"time"
@@ -28,7 +29,7 @@
 // DataCentre names a data centre of a site.
 type DataCentre string
 
-// Object is a configuration object: *Site, *Service, *Rule or *Account.
+// Object is a configuration object: *Site, *Service, *Rule, *Route or *Account.
 type Object interface {
 	// ID returns the kind and the name, which together are unique in a site.
 	ID() ObjectID
@@ -45,6 +46,7 @@
 	KindSite    Kind = "site"
 	KindService Kind = "service"
 	KindRule    Kind = "rule"
+	KindRoute   Kind = "route"
 	KindAccount Kind = "account"
 )
 
@@ -87,6 +89,7 @@
 	Name        Name         `json:"name" yaml:"name"`
 	DataCentres []DataCentre `json:"dataCentres" yaml:"dataCentres"`
 	Sureness    Sureness     `json:"sureness" yaml:"sureness"`
+	Callers     CallerLimits `json:"callers,omitzero" yaml:"callers,omitempty"`
 }
 
 // ID implements Object.
@@ -110,6 +113,10 @@
 	Address    string     `json:"address" yaml:"address"`
 	DataCentre DataCentre `json:"dataCentre" yaml:"dataCentre"`
 	Slots      int        `json:"slots" yaml:"slots"` // Requests that it runs at once.
+	// StartedMs is the Unix millisecond of the server's start where that is
+	// known. A server that started anew under its old name knows nothing of what
+	// it ran before.
+	StartedMs int64 `json:"startedMs,omitempty" yaml:"startedMs,omitempty"`
 }
 
 // Service is a set of backend servers that are alike.
@@ -120,6 +127,17 @@
 	Floor      int         `json:"floor" yaml:"floor"` // Servers that must stay in use.
 	DeadlineMs int64       `json:"deadlineMs" yaml:"deadlineMs"`
 	Servers    []Server    `json:"servers" yaml:"servers"`
+	// Registered says that the servers register themselves, so that Servers is
+	// empty, and that hosts reach the service by routes only.
+	Registered bool `json:"registered,omitempty" yaml:"registered,omitempty"`
+	// FloorShare is the share of the service's servers, between 0 and 1, that
+	// must stay in use. It stands beside Floor where servers come and go.
+	FloorShare float64 `json:"floorShare,omitempty" yaml:"floorShare,omitempty"`
+}
+
+// FloorOf returns how many of n servers must stay in use.
+func (s *Service) FloorOf(n int) int {
+	return max(min(s.Floor, n), int(math.Ceil(s.FloorShare*float64(n))))
 }
 
 // Bounds of a request's deadline, in milliseconds.
@@ -146,11 +164,12 @@
 	c := collector{id: s.ID()}
 	c.name("name", string(s.Name))
 	c.name("site", string(s.Site))
-	c.check(len(s.Hosts) > 0, "hosts", "must name at least one host")
+	c.check(len(s.Hosts) > 0 || s.Registered, "hosts", "must name at least one host")
 	for _, h := range s.Hosts {
-		c.check(h != "" && h == strings.ToLower(h) && !strings.ContainsAny(h, "/: "), "hosts",
-			fmt.Sprintf("%q must be a host name in small letters without a port", h))
+		c.host("hosts", h)
 	}
+	c.check(!s.Registered || len(s.Servers) == 0, "servers", "must be empty where servers register themselves")
+	c.check(s.FloorShare >= 0 && s.FloorShare <= 1, "floorShare", "must lie between 0 and 1")
 	c.check(s.Floor >= 0 && s.Floor <= len(s.Servers), "floor",
 		fmt.Sprintf("must lie between 0 and the number of servers, %d", len(s.Servers)))
 	c.check(s.DeadlineMs >= MinDeadlineMs && s.DeadlineMs <= MaxDeadlineMs, "deadlineMs",
@@ -209,6 +228,11 @@
 	}
 }
 
+func (c *collector) host(field, h string) {
+	c.check(h != "" && h == strings.ToLower(h) && !strings.ContainsAny(h, "/: "), field,
+		fmt.Sprintf("%q must be a host name in small letters without a port", h))
+}
+
 // maxNameLen bounds a name in bytes.
 const maxNameLen = 63
 
@@ -216,3 +240,12 @@
 	ok := s != "" && len(s) <= maxNameLen && strings.Trim(s, "abcdefghijklmnopqrstuvwxyz0123456789-") == ""
 	c.check(ok, field, fmt.Sprintf("%q must be 1 to %d of a-z, 0-9 and -", s, maxNameLen))
 }
+
+// CallerLimits bound what callers may send and how long they may take. Zero
+// stands for the VM's own setting.
+type CallerLimits struct {
+	HeaderBytes int   `json:"headerBytes,omitempty" yaml:"headerBytes,omitempty"`
+	BodyBytes   int64 `json:"bodyBytes,omitempty" yaml:"bodyBytes,omitempty"`
+	HeaderMs    int64 `json:"headerMs,omitempty" yaml:"headerMs,omitempty"` // To send a request's header.
+	IdleMs      int64 `json:"idleMs,omitempty" yaml:"idleMs,omitempty"`     // That a kept connection may rest.
+}
--- a/pkg/platform/client.go
+++ b/pkg/store/client.go
@@ -1,16 +1,12 @@
-package platform
+package store
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 )
 
 // Client is a Store over HTTP.
@@ -70,55 +66,33 @@
 func (c *Client) read(ctx context.Context, path string, q url.Values, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path+"?"+q.Encode(), nil)
+	r, err := Call{Method: http.MethodGet, URL: c.base + path + "?" + q.Encode()}.Do(ctx, c.http)
 	if err != nil {
-		return Unavailable.Wrap(err)
+		return err
 	}
-	err = c.do(req, into)
-	if Unknown.Has(err) {
-		return Unavailable.New("%v", err) // A read has no effect to be unsure of.
+	if err := r.decode(into); !Unknown.Has(err) {
+		return err
 	}
-	return err
+	return Unavailable.New("%v", err) // A read has no effect to be unsure of.
 }
 
-// write sends once: the body has no GetBody, so that net/http cannot repeat it.
-// A failure before the first byte is Unavailable, any later one Unknown.
+// write makes a call that may take effect.
 func (c *Client) write(ctx context.Context, path string, q url.Values, value []byte, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
-	var wrote atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteHeaders: func() { wrote.Store(true) },
-	})
-	body := io.NopCloser(bytes.NewReader(value))
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, c.base+path+"?"+q.Encode(), body)
+	r, err := Call{Method: http.MethodPut, URL: c.base + path + "?" + q.Encode(), Body: value, Write: true}.Do(ctx, c.http)
 	if err != nil {
-		return Unavailable.Wrap(err)
+		return err
 	}
-	req.ContentLength = int64(len(value))
-	err = c.do(req, into)
-	if Unknown.Has(err) && !wrote.Load() {
-		return Unavailable.New("%v", err)
-	}
-	return err
+	return r.decode(into)
 }
 
-// do sends a request and maps the answer to a class. What broke on the way is
-// Unknown.
-func (c *Client) do(req *http.Request, into any) error {
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return Unknown.Wrap(err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, 2*maxValueBytes))
-	if err != nil {
-		return Unknown.Wrap(err)
-	}
-	text := strings.TrimSpace(string(body))
-	switch resp.StatusCode {
+// decode reads the body of a good answer, or maps the status to a class.
+func (r Reply) decode(into any) error {
+	text := strings.TrimSpace(string(r.Body))
+	switch r.Status {
 	case http.StatusOK:
-		if err := json.Unmarshal(body, into); err != nil {
+		if err := json.Unmarshal(r.Body, into); err != nil {
 			return Unknown.Wrap(err)
 		}
 		return nil
@@ -129,6 +103,6 @@
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusBadRequest:
 		return Unavailable.New("%s", text)
 	default:
-		return Unknown.New("status %d: %s", resp.StatusCode, text)
+		return Unknown.New("status %d: %s", r.Status, text)
 	}
 }
