--- a/pkg/platform/contract_test.go
+++ b/pkg/store/contract_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -8,24 +8,24 @@
 
 	"gotest.tools/v3/assert"
 
-	"laburnumpick.org/pkg/platform"
+	"laburnumpick.org/pkg/store"
 )
 
 // withStores runs a test on the store in memory and on the same store over the
 // wire.
-func withStores(t *testing.T, test func(t *testing.T, m *platform.Memory, s platform.Store)) {
+func withStores(t *testing.T, test func(t *testing.T, m *store.Memory, s store.Store)) {
 	t.Helper()
 	t.Run("memory", func(t *testing.T) {
-		m := platform.NewMemory()
+		m := store.NewMemory()
 		test(t, m, m)
 	})
 	t.Run("wire", func(t *testing.T) {
-		m := platform.NewMemory()
-		srv := httptest.NewServer(platform.NewHandler(m))
+		m := store.NewMemory()
+		srv := httptest.NewServer(store.NewHandler(m))
 		defer srv.Close()
 		rt := &http.Transport{}
 		defer rt.CloseIdleConnections()
-		test(t, m, platform.NewClient(srv.URL, rt))
+		test(t, m, store.NewClient(srv.URL, rt))
 	})
 }
 
@@ -34,13 +34,13 @@
 	got := "ok"
 	switch {
 	case err == nil:
-	case platform.Conflict.Has(err):
+	case store.Conflict.Has(err):
 		got = "conflict"
-	case platform.NotFound.Has(err):
+	case store.NotFound.Has(err):
 		got = "notFound"
-	case platform.Unavailable.Has(err):
+	case store.Unavailable.Has(err):
 		got = "unavailable"
-	case platform.Unknown.Has(err):
+	case store.Unknown.Has(err):
 		got = "unknown"
 	default:
 		got = err.Error()
@@ -52,7 +52,7 @@
 	cases := []struct {
 		name   string
 		have   int // Writes before.
-		expect platform.Revision
+		expect store.Revision
 		want   string
 	}{
 		{"insert where there is no row", 0, 0, "ok"},
@@ -64,10 +64,10 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			withStores(t, func(t *testing.T, _ *platform.Memory, s platform.Store) {
+			withStores(t, func(t *testing.T, _ *store.Memory, s store.Store) {
 				ctx := context.Background()
 				for i := range c.have {
-					_, err := s.Put(ctx, "k", []byte("old"), platform.Revision(i))
+					_, err := s.Put(ctx, "k", []byte("old"), store.Revision(i))
 					assert.NilError(t, err)
 				}
 				rev, err := s.Put(ctx, "k", []byte("new"), c.expect)
@@ -90,40 +90,40 @@
 	calls := []struct {
 		name  string
 		write bool
-		do    func(s platform.Store) error
+		do    func(s store.Store) error
 	}{
-		{"get", false, func(s platform.Store) error { _, err := s.Get(ctx, "there"); return err }},
-		{"list", false, func(s platform.Store) error { _, err := s.List(ctx, "t", "", 9); return err }},
-		{"vms", false, func(s platform.Store) error { _, err := s.VMs(ctx); return err }},
-		{"getObject", false, func(s platform.Store) error { _, err := s.GetObject(ctx, "there"); return err }},
-		{"put", true, func(s platform.Store) error { _, err := s.Put(ctx, "new", []byte("v"), 0); return err }},
-		{"putObject", true, func(s platform.Store) error { return s.PutObject(ctx, "new", []byte("v")) }},
+		{"get", false, func(s store.Store) error { _, err := s.Get(ctx, "there"); return err }},
+		{"list", false, func(s store.Store) error { _, err := s.List(ctx, "t", "", 9); return err }},
+		{"vms", false, func(s store.Store) error { _, err := s.VMs(ctx); return err }},
+		{"getObject", false, func(s store.Store) error { _, err := s.GetObject(ctx, "there"); return err }},
+		{"put", true, func(s store.Store) error { _, err := s.Put(ctx, "new", []byte("v"), 0); return err }},
+		{"putObject", true, func(s store.Store) error { return s.PutObject(ctx, "new", []byte("v")) }},
 	}
 	faults := []struct {
 		name        string
-		fault       platform.Fault
+		fault       store.Fault
 		read, write string
 		effect      bool
 	}{
-		{"none", platform.FaultNone, "ok", "ok", true},
-		{"away", platform.FaultAway, "unavailable", "unavailable", false},
-		{"answer lost", platform.FaultLostAnswer, "unavailable", "unknown", true},
-		{"call lost", platform.FaultLostCall, "unavailable", "unknown", false},
+		{"none", store.FaultNone, "ok", "ok", true},
+		{"away", store.FaultAway, "unavailable", "unavailable", false},
+		{"answer lost", store.FaultLostAnswer, "unavailable", "unknown", true},
+		{"call lost", store.FaultLostCall, "unavailable", "unknown", false},
 	}
 	for _, c := range calls {
 		for _, f := range faults {
 			t.Run(c.name+"/"+f.name, func(t *testing.T) {
-				withStores(t, func(t *testing.T, m *platform.Memory, s platform.Store) {
+				withStores(t, func(t *testing.T, m *store.Memory, s store.Store) {
 					_, err := m.Put(ctx, "there", []byte("v"), 0)
 					assert.NilError(t, err)
 					assert.NilError(t, m.PutObject(ctx, "there", []byte("v")))
-					m.SetFaults(func(platform.Op) platform.Fault { return f.fault })
+					m.SetFaults(func(store.Op) store.Fault { return f.fault })
 					want := f.read
 					if c.write {
 						want = f.write
 					}
 					assertClass(t, c.do(s), want)
-					m.SetFaults(func(platform.Op) platform.Fault { return platform.FaultNone })
+					m.SetFaults(func(store.Op) store.Fault { return store.FaultNone })
 					if c.write {
 						_, rowErr := m.Get(ctx, "new")
 						_, objectErr := m.GetObject(ctx, "new")
@@ -136,23 +136,23 @@
 }
 
 func TestListPagesInOrder(t *testing.T) {
-	withStores(t, func(t *testing.T, _ *platform.Memory, s platform.Store) {
+	withStores(t, func(t *testing.T, _ *store.Memory, s store.Store) {
 		ctx := context.Background()
-		for _, k := range []platform.Key{"a/2", "a/1", "b/1", "a/3"} {
+		for _, k := range []store.Key{"a/2", "a/1", "b/1", "a/3"} {
 			_, err := s.Put(ctx, k, []byte(k), 0)
 			assert.NilError(t, err)
 		}
 		rows, err := s.List(ctx, "a/", "a/1", 1)
 		assert.NilError(t, err)
 		assert.Equal(t, len(rows), 1)
-		assert.Equal(t, rows[0].Key, platform.Key("a/2"))
+		assert.Equal(t, rows[0].Key, store.Key("a/2"))
 	})
 }
 
 func TestClientWithoutServerIsUnavailable(t *testing.T) {
 	srv := httptest.NewServer(nil)
 	srv.Close()
-	s := platform.NewClient(srv.URL, &http.Transport{})
+	s := store.NewClient(srv.URL, &http.Transport{})
 	_, err := s.Put(context.Background(), "k", nil, 0)
 	assertClass(t, err, "unavailable")
 }
--- a/pkg/platform/memory.go
+++ b/pkg/store/memory.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
--- a/pkg/platform/platform.go
+++ b/pkg/store/platform.go
@@ -1,9 +1,9 @@
-// Package platform holds the narrow interfaces to what the platform gives the
+// Package store holds the narrow interfaces to what the platform gives the
 // fleet: a table with conditional writes, an object store and a list of VMs.
 //
 // Every answer that the real services can give has a class here, including the
 // awkward one: a write whose answer was lost may have taken effect.
-package platform
+package store
 
 import (
 	"context"
@@ -88,6 +88,13 @@
 	VMs(ctx context.Context) ([]VM, error)
 }
 
+// Registrar is a list of VMs that VMs themselves write.
+type Registrar interface {
+	// Register puts a VM on the list, or replaces its entry. Errors: Unavailable,
+	// Unknown.
+	Register(ctx context.Context, vm VM) error
+}
+
 // Store is all that the platform keeps for the fleet.
 type Store interface {
 	Table
--- a/pkg/trial/faults.go
+++ b/pkg/trial/faults.go
@@ -11,9 +11,9 @@
 	"go.yaml.in/yaml/v3"
 
 	"laburnumpick.org/pkg/fleetapi"
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/site"
 	"laburnumpick.org/pkg/standin"
+	"laburnumpick.org/pkg/store"
 )
 
 // FaultKind names what goes wrong.
@@ -251,17 +251,17 @@
 	return nil
 }
 
-func storeFaults(k FaultKind, on bool) func(platform.Op) platform.Fault {
-	return func(op platform.Op) platform.Fault {
+func storeFaults(k FaultKind, on bool) func(store.Op) store.Fault {
+	return func(op store.Op) store.Fault {
 		switch {
 		case !on:
-			return platform.FaultNone
+			return store.FaultNone
 		case k == StoreDown:
-			return platform.FaultAway
+			return store.FaultAway
 		case op.Write:
-			return platform.FaultLostAnswer
+			return store.FaultLostAnswer
 		default:
-			return platform.FaultNone
+			return store.FaultNone
 		}
 	}
 }
--- a/pkg/trial/fleet.go
+++ b/pkg/trial/fleet.go
@@ -14,10 +14,10 @@
 	"laburnumpick.org/pkg/catalog"
 	"laburnumpick.org/pkg/daemon"
 	"laburnumpick.org/pkg/fleetapi"
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/settings"
 	"laburnumpick.org/pkg/site"
 	"laburnumpick.org/pkg/standin"
+	"laburnumpick.org/pkg/store"
 )
 
 // Hosts of the network in memory, beside the VMs and servers.
@@ -56,7 +56,7 @@
 type Fleet struct {
 	Plan    *Plan
 	Net     *standin.Network
-	Store   *platform.Memory
+	Store   *store.Memory
 	Servers map[site.ServerName]*standin.Server
 	VMs     []*VM
 	// ControlBytes counts what control calls of all VMs carried, both ways.
@@ -64,7 +64,7 @@
 
 	// PauseAfterWrite, if set, tells how long a VM stands still right after a
 	// write of its has taken effect, as when the machine is paused.
-	PauseAfterWrite func(vm string, k platform.Key) time.Duration
+	PauseAfterWrite func(vm string, k store.Key) time.Duration
 
 	all    []*VM // With those that were killed.
 	opts   Options
@@ -77,7 +77,7 @@
 // start.
 func Start(ctx context.Context, p *Plan, o Options) (*Fleet, error) {
 	f := &Fleet{
-		Plan: p, Store: platform.NewMemory(), Servers: make(map[site.ServerName]*standin.Server),
+		Plan: p, Store: store.NewMemory(), Servers: make(map[site.ServerName]*standin.Server),
 		opts: o, places: make(map[string]site.DataCentre), ctx: ctx,
 	}
 	f.Net = standin.NewNetwork(f.delay)
@@ -147,7 +147,7 @@
 }
 
 // Configure writes objects of a site into a store, as an operator would.
-func Configure(s platform.Store, name site.Name, objects ...site.Object) error {
+func Configure(s store.Store, name site.Name, objects ...site.Object) error {
 	lg := catalog.NewLog(s, name)
 	r := catalog.NewReplica()
 	ctx := context.Background()
@@ -203,9 +203,9 @@
 	f.VMs = append(slices.Clone(f.VMs), vm)
 	f.all = append(f.all, vm)
 	f.mu.Unlock()
-	f.Store.SetVM(platform.VM{
+	f.Store.SetVM(store.VM{
 		Name: name, Address: d.Addresses().VMs, DataCentre: string(dc),
-		Role: platform.RoleEntry, State: platform.VMLive,
+		Role: store.RoleEntry, State: store.VMLive,
 	})
 	go func() {
 		defer close(vm.done)
@@ -319,7 +319,7 @@
 
 // storeLink is a VM's way to the store, which can be cut.
 type storeLink struct {
-	platform.Store
+	store.Store
 	fleet *Fleet
 	host  string
 }
@@ -328,9 +328,9 @@
 
 // call runs one call with the link's faults.
 func (l *storeLink) call(ctx context.Context, write bool, do func() error) error {
-	class := platform.Unavailable
+	class := store.Unavailable
 	if write {
-		class = platform.Unknown
+		class = store.Unknown
 	}
 	if l.fleet.Net.IsCut(standin.Way{From: l.host, To: storeHost}) {
 		<-timeout(ctx)
@@ -346,13 +346,13 @@
 
 // timeout is done when a call to the store gives up.
 func timeout(ctx context.Context) <-chan struct{} {
-	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, store.CallTimeout)
 	context.AfterFunc(ctx, cancel)
 	return ctx.Done()
 }
 
-// Get implements platform.Table.
-func (l *storeLink) Get(ctx context.Context, k platform.Key) (row platform.Row, err error) {
+// Get implements store.Table.
+func (l *storeLink) Get(ctx context.Context, k store.Key) (row store.Row, err error) {
 	err = l.call(ctx, false, func() error {
 		row, err = l.Store.Get(ctx, k)
 		return err
@@ -360,8 +360,8 @@
 	return row, err
 }
 
-// Put implements platform.Table.
-func (l *storeLink) Put(ctx context.Context, k platform.Key, v []byte, expect platform.Revision) (rev platform.Revision, err error) {
+// Put implements store.Table.
+func (l *storeLink) Put(ctx context.Context, k store.Key, v []byte, expect store.Revision) (rev store.Revision, err error) {
 	err = l.call(ctx, true, func() error {
 		rev, err = l.Store.Put(ctx, k, v, expect)
 		return err
@@ -372,8 +372,8 @@
 	return rev, err
 }
 
-// List implements platform.Table.
-func (l *storeLink) List(ctx context.Context, prefix, after platform.Key, limit int) (rows []platform.Row, err error) {
+// List implements store.Table.
+func (l *storeLink) List(ctx context.Context, prefix, after store.Key, limit int) (rows []store.Row, err error) {
 	err = l.call(ctx, false, func() error {
 		rows, err = l.Store.List(ctx, prefix, after, limit)
 		return err
@@ -381,8 +381,8 @@
 	return rows, err
 }
 
-// VMs implements platform.VMList.
-func (l *storeLink) VMs(ctx context.Context) (vms []platform.VM, err error) {
+// VMs implements store.VMList.
+func (l *storeLink) VMs(ctx context.Context) (vms []store.VM, err error) {
 	err = l.call(ctx, false, func() error {
 		vms, err = l.Store.VMs(ctx)
 		return err
--- a/pkg/trial/fleet_test.go
+++ b/pkg/trial/fleet_test.go
@@ -11,14 +11,14 @@
 	"laburnumpick.org/pkg/entry"
 	"laburnumpick.org/pkg/fleetapi"
 	"laburnumpick.org/pkg/outcome"
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/site"
 	"laburnumpick.org/pkg/standin"
+	"laburnumpick.org/pkg/store"
 	"laburnumpick.org/pkg/trial"
 )
 
-func away(platform.Op) platform.Fault { return platform.FaultAway }
-func well(platform.Op) platform.Fault { return platform.FaultNone }
+func away(store.Op) store.Fault { return store.FaultAway }
+func well(store.Op) store.Fault { return store.FaultNone }
 
 func believe(t *testing.T, f *trial.Fleet, vm *trial.VM) *fleetapi.BelieveAnswer {
 	t.Helper()
@@ -64,11 +64,11 @@
 	withFleet(t, "tt-north", small(), func(t *testing.T, f *trial.Fleet) {
 		a := apply(t, f, f.VMs[0], "c", anAccount(7))
 		time.Sleep(3 * time.Second)
-		f.Store.SetFaults(func(op platform.Op) platform.Fault {
+		f.Store.SetFaults(func(op store.Op) store.Fault {
 			if op.Key == "" { // The list of VMs is still there.
-				return platform.FaultNone
+				return store.FaultNone
 			}
-			return platform.FaultAway
+			return store.FaultAway
 		})
 		vm, err := f.StartVM("vm-9", "arima")
 		assert.NilError(t, err)
@@ -203,16 +203,16 @@
 // TestOperatorsRace has two operators change one object through two VMs, with
 // the store's answers lost.
 func TestOperatorsRace(t *testing.T) {
-	for _, fault := range []platform.Fault{platform.FaultNone, platform.FaultLostAnswer, platform.FaultLostCall} {
+	for _, fault := range []store.Fault{store.FaultNone, store.FaultLostAnswer, store.FaultLostCall} {
 		t.Run(fmt.Sprint(fault), func(t *testing.T) {
 			withFleet(t, "tt-north", small(), func(t *testing.T, f *trial.Fleet) {
 				lost := 0
-				f.Store.SetFaults(func(op platform.Op) platform.Fault {
+				f.Store.SetFaults(func(op store.Op) store.Fault {
 					if op.Write && lost < 1 {
 						lost++
 						return fault
 					}
-					return platform.FaultNone
+					return store.FaultNone
 				})
 				base := believe(t, f, f.VMs[0]).GetCatalogVersion()
 				verdicts := make([]string, 2)
--- a/pkg/trial/once_test.go
+++ b/pkg/trial/once_test.go
@@ -11,9 +11,9 @@
 	"gotest.tools/v3/assert"
 
 	"laburnumpick.org/pkg/outcome"
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/site"
 	"laburnumpick.org/pkg/standin"
+	"laburnumpick.org/pkg/store"
 	"laburnumpick.org/pkg/trial"
 )
 
@@ -105,7 +105,7 @@
 func TestOnceUnderStoreFaults(t *testing.T) {
 	cases := []struct {
 		name  string
-		fault platform.Fault
+		fault store.Fault
 		at    int // Which write of the key shows the fault; 0 for all calls.
 		first bool
 		want  outcome.Outcome
@@ -114,29 +114,29 @@
 		later outcome.Outcome // Of a resend after the store is well.
 		total int
 	}{
-		{"away", platform.FaultAway, 0, false, outcome.Unknown, outcome.EarlierUnsure, 0, outcome.Answered, 1},
-		{"away, first attempt", platform.FaultAway, 0, true, outcome.NotRun, outcome.StoreAway, 0, outcome.Answered, 1},
-		{"claim away", platform.FaultAway, 1, false, outcome.NotRun, outcome.StoreAway, 0, outcome.Answered, 1},
-		{"claim's answer lost", platform.FaultLostAnswer, 1, false, outcome.Answered, "", 1, outcome.Answered, 1},
-		{"end away", platform.FaultAway, 2, false, outcome.Answered, "", 1, outcome.Answered, 1},
-		{"end's answer lost", platform.FaultLostAnswer, 2, false, outcome.Answered, "", 1, outcome.Answered, 1},
-		{"end lost", platform.FaultLostCall, 2, false, outcome.Answered, "", 1, outcome.Answered, 1},
+		{"away", store.FaultAway, 0, false, outcome.Unknown, outcome.EarlierUnsure, 0, outcome.Answered, 1},
+		{"away, first attempt", store.FaultAway, 0, true, outcome.NotRun, outcome.StoreAway, 0, outcome.Answered, 1},
+		{"claim away", store.FaultAway, 1, false, outcome.NotRun, outcome.StoreAway, 0, outcome.Answered, 1},
+		{"claim's answer lost", store.FaultLostAnswer, 1, false, outcome.Answered, "", 1, outcome.Answered, 1},
+		{"end away", store.FaultAway, 2, false, outcome.Answered, "", 1, outcome.Answered, 1},
+		{"end's answer lost", store.FaultLostAnswer, 2, false, outcome.Answered, "", 1, outcome.Answered, 1},
+		{"end lost", store.FaultLostCall, 2, false, outcome.Answered, "", 1, outcome.Answered, 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			withFleet(t, "tt-north", small(), func(t *testing.T, f *trial.Fleet) {
 				writes := 0
-				f.Store.SetFaults(func(op platform.Op) platform.Fault {
+				f.Store.SetFaults(func(op store.Op) store.Fault {
 					if c.at == 0 {
 						return c.fault
 					}
 					if !op.Write || !strings.Contains(string(op.Key), "/once/") {
-						return platform.FaultNone
+						return store.FaultNone
 					}
 					if writes++; writes == c.at {
 						return c.fault
 					}
-					return platform.FaultNone
+					return store.FaultNone
 				})
 				call := aVote("a")
 				call.First = c.first
@@ -147,7 +147,7 @@
 				if c.want != outcome.Answered {
 					assert.Assert(t, r.RetryMs != "")
 				}
-				f.Store.SetFaults(func(platform.Op) platform.Fault { return platform.FaultNone })
+				f.Store.SetFaults(func(store.Op) store.Fault { return store.FaultNone })
 				time.Sleep(5 * time.Second)
 				call.First = false
 				assertOutcome(t, f.Call(bg, f.VMs[3], call), c.later, "")
@@ -163,12 +163,12 @@
 	withFleet(t, "tt-north", small(), func(t *testing.T, f *trial.Fleet) {
 		for i := range 10 {
 			lost := false
-			f.Store.SetFaults(func(op platform.Op) platform.Fault {
+			f.Store.SetFaults(func(op store.Op) store.Fault {
 				if op.Write && !lost && strings.Contains(string(op.Key), "/once/") {
 					lost = true
-					return platform.FaultLostCall
+					return store.FaultLostCall
 				}
-				return platform.FaultNone
+				return store.FaultNone
 			})
 			c := aVote(fmt.Sprint(i))
 			r := f.Call(bg, f.VMs[i%len(f.VMs)], c)
@@ -186,7 +186,7 @@
 func TestHolderPausedBetweenClaimAndSend(t *testing.T) {
 	withFleet(t, "tt-north", small(), func(t *testing.T, f *trial.Fleet) {
 		paused := false
-		f.PauseAfterWrite = func(_ string, k platform.Key) time.Duration {
+		f.PauseAfterWrite = func(_ string, k store.Key) time.Duration {
 			if paused || !strings.Contains(string(k), "/once/") {
 				return 0
 			}
--- a/pkg/trial/property_test.go
+++ b/pkg/trial/property_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"laburnumpick.org/pkg/outcome"
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/standin"
+	"laburnumpick.org/pkg/store"
 	"laburnumpick.org/pkg/trial"
 )
 
@@ -91,14 +91,14 @@
 		d := time.Duration(rng.IntN(400)) * time.Millisecond
 		switch rng.IntN(8) {
 		case 0:
-			fault := platform.Fault(1 + rng.IntN(3))
+			fault := store.Fault(1 + rng.IntN(3))
 			share := rng.Float64()
 			own := rand.New(rand.NewPCG(rng.Uint64(), 3)) // The store's lock guards it.
-			f.Store.SetFaults(func(platform.Op) platform.Fault {
+			f.Store.SetFaults(func(store.Op) store.Fault {
 				if own.Float64() < share {
 					return fault
 				}
-				return platform.FaultNone
+				return store.FaultNone
 			})
 			time.Sleep(d)
 			f.Store.SetFaults(well)
--- a/pkg/trial/reads_test.go
+++ b/pkg/trial/reads_test.go
@@ -11,9 +11,9 @@
 
 	"laburnumpick.org/pkg/fleetapi"
 	"laburnumpick.org/pkg/outcome"
-	"laburnumpick.org/pkg/platform"
 	"laburnumpick.org/pkg/site"
 	"laburnumpick.org/pkg/standin"
+	"laburnumpick.org/pkg/store"
 	"laburnumpick.org/pkg/trial"
 )
 
@@ -220,10 +220,10 @@
 	}{
 		{"its own answer", func(_ *trial.Fleet, s *standin.Server) { s.Set(standin.Faults{Draining: true}) }},
 		{"the platform's list", func(f *trial.Fleet, s *standin.Server) {
-			f.Store.SetVM(platform.VM{Name: s.Name(), Address: s.Address(), Role: platform.RoleBackend, State: platform.VMLeaving})
+			f.Store.SetVM(store.VM{Name: s.Name(), Address: s.Address(), Role: store.RoleBackend, State: store.VMLeaving})
 		}},
 		{"its own answer, store away", func(f *trial.Fleet, s *standin.Server) {
-			f.Store.SetFaults(func(platform.Op) platform.Fault { return platform.FaultAway })
+			f.Store.SetFaults(func(store.Op) store.Fault { return store.FaultAway })
 			s.Set(standin.Faults{Draining: true})
 		}},
 	}
