--- a/cmd/laburnumbench/bench/standins.go
+++ b/cmd/laburnumbench/bench/standins.go
@@ -35,16 +35,16 @@
 
 // Run serves a platform in memory.
 func (c *platformCmd) Run() error {
-	store := store.NewMemory()
+	mem := store.NewMemory()
 	mux := http.NewServeMux()
-	mux.Handle("/", store.NewHandler(store))
+	mux.Handle("/", store.NewHandler(mem))
 	mux.HandleFunc("PUT /control/vm", func(w http.ResponseWriter, r *http.Request) {
 		var vm store.VM
 		if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		store.SetVM(vm)
+		mem.SetVM(vm)
 	})
 	mux.HandleFunc("PUT /control/faults", func(w http.ResponseWriter, r *http.Request) {
 		var f platformFaults
@@ -52,10 +52,10 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		setFaults(store, f)
+		setFaults(mem, f)
 	})
 	mux.HandleFunc("GET /control/counts", func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(store.Counts())
+		_ = json.NewEncoder(w).Encode(mem.Counts())
 	})
 	l, err := net.Listen("tcp", c.Address)
 	if err != nil {
@@ -70,9 +70,9 @@
 	return srv.Close()
 }
 
-func setFaults(store *store.Memory, f platformFaults) {
-	store.SetDelay(time.Duration(f.DelayMs) * time.Millisecond)
-	store.SetFaults(func(op store.Op) store.Fault {
+func setFaults(mem *store.Memory, f platformFaults) {
+	mem.SetDelay(time.Duration(f.DelayMs) * time.Millisecond)
+	mem.SetFaults(func(op store.Op) store.Fault {
 		switch {
 		case f.Away:
 			return store.FaultAway
--- a/cmd/laburnumpickd/main.go
+++ b/cmd/laburnumpickd/main.go
@@ -33,6 +33,7 @@
 }
 
 func main() {
+	signal.Ignore(syscall.SIGHUP) // Until the settings are watched.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	status := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
@@ -62,7 +63,7 @@
 	if c.Check {
 		_, err = fmt.Fprintf(out, "%s is valid\n", c.Settings)
 	} else {
-		err = serve(ctx, set)
+		err = serve(ctx, c.Settings, set)
 	}
 	if err != nil {
 		return fail(errOut, err, statusFailed)
@@ -76,7 +77,7 @@
 	return status
 }
 
-func serve(ctx context.Context, set *settings.Settings) error {
+func serve(ctx context.Context, file string, set *settings.Settings) error {
 	if err := telemetry.SetVerbosity(set.Log.Verbosity); err != nil {
 		return err
 	}
@@ -85,6 +86,9 @@
 	if err != nil {
 		return err
 	}
+	watch, stop := context.WithCancel(ctx)
+	defer stop()
+	go watchSettings(watch, file, d.Reload)
 	return d.Run(ctx)
 }
 
--- a/pkg/backend/send.go
+++ b/pkg/backend/send.go
@@ -82,12 +82,14 @@
 	cause  error
 }
 
-// Error describes the failure.
-func (e *Error) Error() string {
-	stage := [...]string{"not sent", "sent without an answer", "answer broken"}[e.Stage]
-	return fmt.Sprintf("%s: %v", stage, e.cause)
+// String names the stage.
+func (s Stage) String() string {
+	return [...]string{"not sent", "sent without an answer", "answer broken"}[s]
 }
 
+// Error describes the failure.
+func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.Stage, e.cause) }
+
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
 
--- a/pkg/caller/conn.go
+++ b/pkg/caller/conn.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"laburnumpick.org/pkg/outcome"
 )
 
 // Sizes and times of a connection.
@@ -215,12 +217,13 @@
 func (c *conn) done(x *exchange, whole bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	first := c.queue[0] == x
 	c.queue = slices.DeleteFunc(c.queue, func(o *exchange) bool { return o == x })
 	if !whole {
 		c.broken = true
 		_ = c.nc.Close() // What was cut short must look so.
 	}
-	if len(c.queue) > 0 {
+	if first && len(c.queue) > 0 {
 		close(c.queue[0].turn)
 	}
 	c.armIdle()
@@ -234,15 +237,15 @@
 		c.cancel()
 		return
 	}
-	bad, ok := errors.AsType[*badRequest](err)
+	bad, ok := errors.AsType[*outcome.Failure](err)
 	if !ok {
 		return // Idle, or cut in the middle of a request.
 	}
 	if !c.drained() {
 		return
 	}
-	klog.V(1).InfoS("caller: request refused", "from", c.nc.RemoteAddr(), "status", bad.status, "reason", bad.reason)
-	_, _ = c.w.Write(bad.answer()) // The caller may have gone.
+	klog.V(1).InfoS("caller: request refused", "from", c.nc.RemoteAddr(), "kind", bad.Kind, "reason", bad.Detail())
+	_, _ = c.w.Write(outcome.Raw(bad)) // The caller may have gone.
 	_ = c.w.Flush()
 }
 
@@ -288,7 +291,7 @@
 		return nil
 	}
 	if req.ContentLength > lim.BodyBytes {
-		return &badRequest{http.StatusRequestEntityTooLarge, "the body is too large"}
+		return outcome.New(outcome.BodyTooLarge, "the body has more than %d bytes", lim.BodyBytes)
 	}
 	if req.Header.Get("Expect") == "100-continue" && c.settled() {
 		_, _ = c.w.WriteString("HTTP/1.1 100 Continue\r\n\r\n") // A dead connection shows in the read.
@@ -298,9 +301,9 @@
 	body, err := io.ReadAll(io.LimitReader(req.Body, lim.BodyBytes+1))
 	switch {
 	case int64(len(body)) > lim.BodyBytes:
-		return &badRequest{http.StatusRequestEntityTooLarge, "the body is too large"}
+		return outcome.New(outcome.BodyTooLarge, "the body has more than %d bytes", lim.BodyBytes)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return &badRequest{http.StatusRequestTimeout, "the body did not come in time"}
+		return outcome.New(outcome.TooSlow, "the body did not come in time")
 	case errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed):
 		return fmt.Errorf("%w: %w", errGone, err)
 	case err != nil:
--- a/pkg/caller/head.go
+++ b/pkg/caller/head.go
@@ -6,28 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"strings"
-)
-
-// badRequest is something that is no proper request, with the answer to it.
-// Nothing of it was run.
-type badRequest struct {
-	status int
-	reason string
-}
 
-// Error describes what is wrong.
-func (b *badRequest) Error() string { return b.reason }
-
-// answer is the whole answer. It closes the connection.
-func (b *badRequest) answer() []byte {
-	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: text/plain\r\n"+
-		"Content-Length: %d\r\n\r\n%s\n", b.status, http.StatusText(b.status), len(b.reason)+1, b.reason)
-}
+	"laburnumpick.org/pkg/outcome"
+)
 
-func malformed(reason string) *badRequest { return &badRequest{http.StatusBadRequest, reason} }
+func malformed(reason string) *outcome.Failure { return outcome.New(outcome.Malformed, "%s", reason) }
 
 // readHead waits until a request's whole header is buffered and checks it.
 func (c *conn) readHead(limit int) error {
@@ -38,7 +23,7 @@
 		case err != nil:
 			return err
 		case n > limit || (!whole && len(b) > limit):
-			return &badRequest{http.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("the header has more than %d bytes", limit)}
+			return outcome.New(outcome.HeaderTooLarge, "the header has more than %d bytes", limit)
 		case whole:
 			return nil
 		}
@@ -60,7 +45,7 @@
 // cut classifies an error in the middle of a header.
 func cut(err error) error {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return &badRequest{http.StatusRequestTimeout, "the header did not come in time"}
+		return outcome.New(outcome.TooSlow, "the header did not come in time")
 	}
 	return fmt.Errorf("%w: %w", errGone, err)
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/thejerf/suture/v4"
@@ -91,7 +92,8 @@
 
 // Daemon is one entry VM.
 type Daemon struct {
-	set        *settings.Settings
+	set        *settings.Settings // As at the start; what may change is in current.
+	current    atomic.Pointer[settings.Settings]
 	tel        *telemetry.Telemetry
 	replica    *catalog.Replica
 	registry   *registry.Book
@@ -120,6 +122,7 @@
 		replica: catalog.NewReplica(), registry: registry.NewBook(), stopped: make(chan struct{}),
 		addr: ls.addresses(set),
 	}
+	d.current.Store(set)
 	if p.Store == nil {
 		p.Store = d.storeOf(nw)
 	}
@@ -235,7 +238,7 @@
 	d.home = home.New(home.Config{
 		VM: set.VM.Name, Site: site.Name(set.VM.Site), Dial: nw.Dial, Store: p.Store,
 		Replica: d.replica, Registry: d.registry, Journal: jr, Scope: d.tel.Scope.SubScope("home"),
-		Retry:   pool.RetryLimits{Ratio: set.Retry.Ratio, Slack: set.Retry.Slack, Window: set.Retry.Window},
+		Retry:   d.retryLimits,
 		Losses:  func(l quarantine.Loss) { d.node.SpreadLoss(context.Background(), l) },
 		Cleared: func(r quarantine.Release) { d.node.SpreadRelease(r) },
 	})
@@ -320,7 +323,7 @@
 // callerLimits returns what callers may send: what the configuration says, else
 // the settings.
 func (d *Daemon) callerLimits() caller.Limits {
-	lim := &d.set.Limits
+	lim := &d.current.Load().Limits
 	out := caller.Limits{
 		HeaderBytes: lim.HeaderBytes, BodyBytes: lim.BodyBytes, HeaderTime: lim.SlowCaller,
 		BodyTime: lim.SlowCaller, IdleTime: idleTime, WriteTime: lim.SlowCaller,
@@ -346,20 +349,31 @@
 }
 
 func (d *Daemon) entryConfig(self roster.VM) entry.Config {
-	lim := &d.set.Limits
 	return entry.Config{
 		Self: self, Site: site.Name(d.set.VM.Site), Replica: d.replica,
 		Holder: fleet.Holder{Node: d.node}, Tracer: d.tel.Tracer, Scope: d.tel.Scope.SubScope("entry"),
 		Dispatcher: d.dispatcher, Ready: d.unready, FractionalRetry: d.set.Callers.FractionalRetryAfter,
-		Limits: entry.Limits{
-			MaxRequests: lim.Requests, VouchesPerSec: lim.VouchesPerSecond,
-			DefaultAccount: account.Limits{
-				Rate: lim.Account.Rate, Burst: lim.Account.Burst, InFlight: lim.Account.InFlight,
-			},
+		Limits: d.entryLimits,
+	}
+}
+
+// entryLimits returns what this VM takes at present.
+func (d *Daemon) entryLimits() entry.Limits {
+	lim := &d.current.Load().Limits
+	return entry.Limits{
+		MaxRequests: lim.Requests, VouchesPerSec: lim.VouchesPerSecond,
+		DefaultAccount: account.Limits{
+			Rate: lim.Account.Rate, Burst: lim.Account.Burst, InFlight: lim.Account.InFlight,
 		},
 	}
 }
 
+// retryLimits returns how often requests may be sent again at present.
+func (d *Daemon) retryLimits() pool.RetryLimits {
+	r := d.current.Load().Retry
+	return pool.RetryLimits{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window}
+}
+
 // unready returns why this VM cannot serve callers, or "".
 func (d *Daemon) unready() string {
 	if !d.node.Known() {
@@ -439,7 +453,7 @@
 // goes on deciding for the others that have not yet heard that it leaves.
 func (d *Daemon) drain() error {
 	klog.InfoS("daemon: stopping", "vm", d.addr.VM, "inFlight", d.entry.InFlight())
-	stop := d.set.Stop.Times()
+	stop := d.current.Load().Stop.Times()
 	d.entry.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), stop.LastAnswers+stop.Idle+stop.Rest)
 	defer cancel()
--- a/pkg/daemon/limit.go
+++ b/pkg/daemon/limit.go
@@ -1,11 +1,8 @@
 package daemon
 
 import (
-	"encoding/json"
 	"errors"
-	"fmt"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -30,27 +27,10 @@
 
 func newLimitListener(l net.Listener, most, mostFromOne int) *limitListener {
 	return &limitListener{
-		Listener: l, most: most, mostFromOne: mostFromOne, refusal: refusal(), from: make(map[string]int),
+		Listener: l, most: most, mostFromOne: mostFromOne, refusal: outcome.Raw(outcome.New(outcome.Overload, "too many connections are open")), from: make(map[string]int),
 	}
 }
 
-// refusal is the answer to a connection too many.
-func refusal() []byte {
-	f := outcome.New(outcome.Overload, "too many connections are open")
-	n := outcome.Notice{
-		Outcome: f.Outcome(), Kind: f.Kind, Detail: f.Detail(), Advice: f.Kind.Answer().Advice,
-		RetryAfterMs: f.ComeBack().Milliseconds(),
-	}
-	body, err := json.Marshal(n)
-	if err != nil {
-		body = []byte("{}")
-	}
-	return fmt.Appendf(nil, "HTTP/1.1 503 %s\r\nConnection: close\r\nContent-Type: application/json\r\n"+
-		"Content-Length: %d\r\nRetry-After: %.0f\r\n%s: %s\r\n%s: %s\r\n\r\n%s",
-		http.StatusText(http.StatusServiceUnavailable), len(body), f.ComeBack().Seconds(),
-		outcome.HeaderOutcome, f.Outcome(), outcome.HeaderKind, f.Kind, body)
-}
-
 // Accept implements net.Listener.
 func (l *limitListener) Accept() (net.Conn, error) {
 	for {
--- a/pkg/dispatch/once.go
+++ b/pkg/dispatch/once.go
@@ -38,8 +38,10 @@
 			res.fail(outcome.New(outcome.DeadlinePassed, "the deadline passed before anything was sent"))
 			break
 		}
-		t := d.send(ctx, j, s, sendOptions{fresh: true, patient: true})
-		d.finish(ctx, j, res, t)
+		try, t := newTry(ctx, s)
+		d.send(try, j, t)
+		d.finish(ctx, j, t)
+		res.note(t)
 		if t.answer != nil {
 			res.Failure = nil
 			d.endAnswered(claimed, t.answer)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -71,7 +71,7 @@
 	Site    site.Name
 	Replica *catalog.Replica
 	Holder  Holder
-	Limits  Limits
+	Limits  func() Limits
 	Tracer  trace.Tracer
 	Scope   tally.Scope
 
@@ -226,7 +226,7 @@
 	if f := x.route(r); f != nil {
 		return f
 	}
-	if e.inFlight.Add(1) > e.cfg.Limits.MaxRequests {
+	if e.inFlight.Add(1) > e.cfg.Limits().MaxRequests {
 		e.inFlight.Add(-1)
 		return x.vouched(ctx, outcome.New(outcome.Overload, "this VM runs as many requests as it may"))
 	}
@@ -305,7 +305,7 @@
 	if own := e.cfg.Replica.State().Directory.Account(a); own != nil {
 		return account.Limits{Rate: own.Rate, Burst: own.Burst, InFlight: own.InFlight}
 	}
-	return e.cfg.Limits.DefaultAccount
+	return e.cfg.Limits().DefaultAccount
 }
 
 // deadline returns the shorter of the route's and the caller's deadline, less
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -25,7 +25,7 @@
 	askTime = 250 * time.Millisecond
 	// waitTime bounds a call that may wait for a slot.
 	waitTime    = 500 * time.Millisecond
-	releaseTime = time.Second
+	releaseTime = 250 * time.Millisecond
 	grayPenalty = 2 * time.Second // How long a home that failed comes last.
 	standIns    = 3               // VMs that are tried as a pool's home.
 )
@@ -165,19 +165,17 @@
 		n.cfg.Home.Abandon(svc, t)
 		return
 	}
-	n.tellHome(vm, fleetapi.FromAbandoned(svc, t))
+	go n.tellHome(vm, fleetapi.FromAbandoned(svc, t))
 }
 
 // tellHome sends what a home should know. What gets lost is made up for by the
 // end of the grant's time.
 func (n *Node) tellHome(vm roster.VM, req *fleetapi.ReleaseRequest) {
-	go func() {
-		ctx, cancel := context.WithTimeout(n.withToken(context.Background()), releaseTime)
-		defer cancel()
-		if _, err := n.client(vm.Address).Release(ctx, req); err != nil {
-			n.cfg.Scope.Counter("releasesLost").Inc(1)
-		}
-	}()
+	ctx, cancel := context.WithTimeout(n.withToken(context.Background()), releaseTime)
+	defer cancel()
+	if _, err := n.client(vm.Address).Release(ctx, req); err != nil {
+		n.cfg.Scope.Counter("releasesLost").Inc(1)
+	}
 }
 
 // seat is a grant of a home.
@@ -196,7 +194,12 @@
 		s.node.cfg.Home.Release(e)
 		return
 	}
-	s.node.tellHome(s.home, fleetapi.FromEnded(e, string(s.node.cfg.Self.Name)))
+	req := fleetapi.FromEnded(e, string(s.node.cfg.Self.Name))
+	if _, well := e.Report.(pool.Served); well {
+		go s.node.tellHome(s.home, req)
+		return
+	}
+	s.node.tellHome(s.home, req) // Before the request may be sent elsewhere.
 }
 
 // Acquire implements fleetapi.Fleet.
--- a/pkg/home/grant.go
+++ b/pkg/home/grant.go
@@ -37,13 +37,14 @@
 	Sends       int         // Servers that the request has been sent to.
 	Attempts    int         // Servers that it may be sent to in all.
 	Ticket      pool.Ticket // Of a wait that goes on.
+	AtOnce      bool        // A request that would have to wait gets no slot.
 }
 
 // request returns what the pool must know.
 func (a *Ask) request(now time.Time, suspect bool) pool.Request {
 	r := pool.Request{
 		Account: a.Account, Class: a.Class, Rule: a.Rule, DataCentre: a.DataCentre, Priority: a.Priority,
-		Deadline: now.Add(a.Left), Exclude: a.Exclude, Sends: a.Sends, Attempts: a.Attempts, Suspect: suspect,
+		Deadline: now.Add(a.Left), Exclude: a.Exclude, Sends: a.Sends, Attempts: a.Attempts, Suspect: suspect, AtOnce: a.AtOnce,
 	}
 	if a.TargetLeft != 0 {
 		r.Target = now.Add(a.TargetLeft)
@@ -87,15 +88,15 @@
 
 // admit decides on a new request. The wait is nil where the decision is final.
 func (h *Home) admit(now time.Time, p *held, a *Ask) (pool.Decision, *wait) {
+	losses := h.book.Losses(now, a.Fingerprint)
+	if a.Sends > 0 && losses >= crashesToStop {
+		return pool.Refused{Kind: outcome.CrashedServers, Detail: "the request has taken two backend servers down"}, nil
+	}
 	if left, stop := h.book.Blocked(now, a.Fingerprint); stop {
 		return pool.Refused{
 			Kind: outcome.Quarantined, Detail: "the request has crashed several backend servers", RetryAfter: left,
 		}, nil
 	}
-	losses := h.book.Losses(now, a.Fingerprint)
-	if a.Sends > 0 && losses >= crashesToStop {
-		return pool.Refused{Kind: outcome.CrashedServers, Detail: "the request has taken two backend servers down"}, nil
-	}
 	d := p.Admit(now, a.request(now, losses > 0))
 	t, waits := d.(pool.Waiting)
 	if !waits {
--- a/pkg/home/home.go
+++ b/pkg/home/home.go
@@ -43,7 +43,7 @@
 	Registry *registry.Book
 	Journal  *journal.Journal
 	Scope    tally.Scope
-	Retry    pool.RetryLimits
+	Retry    func() pool.RetryLimits
 	Losses   func(quarantine.Loss)    // Tells the other VMs of a loss.
 	Cleared  func(quarantine.Release) // Tells the other VMs that a request is harmless.
 }
@@ -118,7 +118,7 @@
 
 // settings returns what a service asks of its pool.
 func (h *Home) settings(svc *site.Service) pool.Settings {
-	set := pool.Settings{Sureness: h.cfg.Replica.State().Directory.Sureness(), Retry: h.cfg.Retry}
+	set := pool.Settings{Sureness: h.cfg.Replica.State().Directory.Sureness(), Retry: h.cfg.Retry()}
 	if svc != nil {
 		set.Floor = svc.FloorOf
 	}
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -34,6 +34,7 @@
 	Malformed       Kind = "malformed"
 	NoSuchService   Kind = "noSuchService"
 	HeaderTooLarge  Kind = "headerTooLarge"
+	TooSlow         Kind = "tooSlow"
 	BodyTooLarge    Kind = "bodyTooLarge"
 	KeyMissing      Kind = "keyMissing"
 	KeyReused       Kind = "keyReused"
@@ -69,6 +70,7 @@
 	Malformed:       {NotRun, http.StatusBadRequest, 0, "mend the request"},
 	NoSuchService:   {NotRun, http.StatusNotFound, 0, "check the host name"},
 	HeaderTooLarge:  {NotRun, http.StatusRequestHeaderFieldsTooLarge, 0, "send smaller headers"},
+	TooSlow:         {NotRun, http.StatusRequestTimeout, time.Second, "send the whole request at once"},
 	BodyTooLarge:    {NotRun, http.StatusRequestEntityTooLarge, 0, "send a smaller body"},
 	KeyMissing:      {NotRun, http.StatusPreconditionRequired, 0, "send the idempotency key that the rule asks for"},
 	KeyReused:       {NotRun, http.StatusUnprocessableEntity, 0, "use a new key for a different request"},
--- a/pkg/outcome/write.go
+++ b/pkg/outcome/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -71,3 +72,22 @@
 func wholeSeconds(d time.Duration) int64 {
 	return int64((d + time.Second - 1) / time.Second)
 }
+
+// Raw is a failure as a whole HTTP answer that ends its connection, for callers
+// whose request could not be read.
+func Raw(f *Failure) []byte {
+	a := f.Kind.Answer()
+	body, err := json.Marshal(Notice{
+		Outcome: a.Outcome, Kind: f.Kind, Detail: f.Detail(), Advice: a.Advice, RetryAfterMs: f.ComeBack().Milliseconds(),
+	})
+	if err != nil {
+		body = []byte("{}")
+	}
+	back := ""
+	if f.ComeBack() > 0 {
+		back = fmt.Sprintf("%s: %d\r\n", headerRetryAfter, wholeSeconds(f.ComeBack()))
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: application/json\r\n"+
+		"Content-Length: %d\r\n%s%s: %s\r\n%s: %s\r\n\r\n%s", a.Status, http.StatusText(a.Status),
+		len(body), back, HeaderOutcome, a.Outcome, HeaderKind, f.Kind, body)
+}
--- a/pkg/pool/evidence.go
+++ b/pkg/pool/evidence.go
@@ -162,6 +162,26 @@
 	return p.meanMs
 }
 
+// slowQuantile is the share of answers that take no longer than the slowest
+// usual one.
+const slowQuantile = 0.95
+
+// slowest returns the time, in milliseconds, that the slowest usual answers of a
+// rule take, but for one server's.
+func (p *Pool) slowest(rule site.RuleName, self *server) float64 {
+	var buf [512]float64
+	ref := p.reference(buf[:0], rule, self)
+	if len(ref) < minReference {
+		return guessRatio * p.meanMs
+	}
+	slices.Sort(ref)
+	return ref[int(slowQuantile*float64(len(ref)))]
+}
+
+// guessRatio is how many times the mean the slowest usual answers take, where
+// too little is known.
+const guessRatio = 3
+
 // peersMedian returns the median of the peers' latest latencies in
 // milliseconds, or zero where too little is known.
 func (p *Pool) peersMedian(rule site.RuleName, self *server) float64 {
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -30,6 +30,7 @@
 	Exclude    []site.ServerName // Servers that have already failed it.
 	Sends      int               // Servers that it has been sent to.
 	Attempts   int               // Servers that it may be sent to in all; 0 for no bound.
+	AtOnce     bool              // It gets a slot that is free or none.
 	Suspect    bool              // It has taken a server down, so it runs apart from other such ones.
 }
 
@@ -72,12 +73,17 @@
 	maxPatience   = 5 * time.Second
 	firstGuess    = 50 * time.Millisecond
 
-	patienceRatio = 4   // Times the median of the answers' times.
-	trialPatience = 2.5 // The same for the trial of a server.
-	againRatio    = 1.3 // Times the median that must be left for another server.
+	patienceRatio = 1.75 // Times the time that 19 of 20 answers take.
+	trialPatience = 2.5  // Times the median; of the trial of a server.
+	againRatio    = 1.3  // Times the median that must be left for another server.
 	// runRatio is the share of the median run that must be left for a request to
 	// be sent at all. Less than one in ten runs is shorter.
 	runRatio = 0.6
+	// queueRatio is how many times the slowest usual run must be left after a
+	// wait, so that what waited most likely ends.
+	queueRatio = 1.2
+	// waitShare is the share of its time that a request may wait.
+	waitShare = 0.5
 )
 
 // Settings are what a pool's service and site ask of it.
@@ -101,6 +107,7 @@
 	seq     GrantID // Counts grants, to rotate among equal servers.
 	// repeatableAt is when the last repeatable request came.
 	repeatableAt time.Time
+	swept        time.Time // When the queue was last gone through.
 }
 
 // outstanding is a grant that has not been released.
@@ -184,7 +191,10 @@
 		return p.grant(now, v, r, false)
 	}
 	wait := p.expectedWait(now, r)
-	if !p.usable(r) || wait > r.Deadline.Sub(now)/2 {
+	if r.AtOnce {
+		return p.refuse(wait)
+	}
+	if !p.usable(now, r) || wait > r.Deadline.Sub(now)/2 {
 		if v := p.choose(now, r, true); v != nil {
 			return p.grant(now, v, r, false)
 		}
@@ -218,21 +228,27 @@
 }
 
 func (p *Pool) enqueue(now time.Time, r Request, wait time.Duration) Decision {
-	if !p.usable(r) {
+	if !p.later(r) {
 		return Refused{Kind: outcome.NoServer, Detail: "no server of the service can be used", RetryAfter: time.Second}
 	}
-	if p.tooLong(now, r, wait) && !p.queue.evictFor(r) {
+	latest := p.latest(now, r)
+	if now.Add(wait).After(latest) && !p.queue.evictFor(r) {
 		return p.refuse(wait)
 	}
 	if p.queue.len() >= maxQueue {
 		return p.refuse(wait)
 	}
-	return Waiting{p.queue.push(r)}
+	return Waiting{p.queue.push(r, latest)}
 }
 
-// tooLong reports whether a request cannot be run in time after a wait.
-func (p *Pool) tooLong(now time.Time, r Request, wait time.Duration) bool {
-	return wait+p.leastRun(r.Rule) > r.Deadline.Sub(now)
+// latest returns until when a request that comes now may wait.
+func (p *Pool) latest(now time.Time, r Request) time.Time {
+	share := now.Add(time.Duration(waitShare * float64(r.Deadline.Sub(now))))
+	room := r.Deadline.Add(-scale(p.slowest(r.Rule, nil), queueRatio))
+	if room.Before(share) {
+		return room
+	}
+	return share
 }
 
 func (p *Pool) refuse(wait time.Duration) Refused {
@@ -240,29 +256,36 @@
 	return Refused{Kind: outcome.Overload, Detail: "no slot of a server is free in time", RetryAfter: back}
 }
 
-// slots returns how many requests the trusted servers run at once.
-func (p *Pool) slots() int {
+// slots returns how many requests the servers run at once that may be used now.
+func (p *Pool) slots(now time.Time) int {
 	n := 0
 	for _, v := range p.order {
-		if v.trusted() {
-			n += v.warm
+		if v.trusted() && !v.resting(now) {
+			n += v.room(now)
 		}
 	}
 	return n
 }
 
 // usable reports whether some server could take the request later.
-func (p *Pool) usable(r Request) bool {
+func (p *Pool) usable(now time.Time, r Request) bool {
+	return slices.ContainsFunc(p.order, func(v *server) bool {
+		return v.trusted() && !v.resting(now) && !slices.Contains(r.Exclude, v.cfg.Name)
+	})
+}
+
+// later reports whether some server could take the request at all.
+func (p *Pool) later(r Request) bool {
 	return slices.ContainsFunc(p.order, func(v *server) bool {
-		return v.trusted() && !slices.Contains(r.Exclude, v.cfg.Name)
+		return (v.trusted() || v.state == Doubted) && !slices.Contains(r.Exclude, v.cfg.Name)
 	})
 }
 
 // expectedWait estimates how long a request would wait in the queue.
 func (p *Pool) expectedWait(now time.Time, r Request) time.Duration {
-	slots := p.slots()
+	slots := p.slots(now)
 	if slots == 0 {
-		return time.Second
+		return time.Second // Until servers that rest may be used again.
 	}
 	wait := p.waitBehind(p.queue.ahead(r), slots)
 	for _, v := range p.order {
@@ -282,31 +305,62 @@
 // picked as well.
 func (p *Pool) choose(now time.Time, r Request, lastResort bool) *server {
 	var best *server
+	by := ranking{now: now, near: r.DataCentre, proves: p.proves(now, r), spares: p.maySpare(now)}
 	for _, v := range p.order {
 		if !v.open(now, lastResort) || slices.Contains(r.Exclude, v.cfg.Name) || (r.Suspect && v.suspect) {
 			continue
 		}
-		if best == nil || v.before(now, best, r.DataCentre) {
+		if best == nil || by.before(v, best) {
 			best = v
 		}
 	}
 	return best
 }
 
-// before orders servers for choose: those that are trusted and warm, then those
-// in the sender's data centre that have more than one slot free, since bytes
-// between data centres are dear, then those with the smallest share of their
-// slots in use, then the one that has rested longest. Evidence short of a doubt
-// does not count: a server that got less work for it would never be proved sick
-// or well.
-func (v *server) before(now time.Time, o *server, near site.DataCentre) bool {
-	if v.trusted() != o.trusted() {
-		return v.trusted()
-	}
-	if v.cold(now) != o.cold(now) {
-		return o.cold(now)
+// proves reports whether a request may find out whether a server's spell of
+// failures is over: it can be sent to another server after it.
+func (p *Pool) proves(now time.Time, r Request) bool {
+	return r.Class == site.Repeatable && r.Sends == 0 && r.Attempts != 1 && p.budget.may(now) &&
+		r.Deadline.Sub(now) > scale(p.median(r.Rule, nil), trialPatience+againRatio)
+}
+
+// ranking orders servers for a request.
+type ranking struct {
+	now    time.Time
+	near   site.DataCentre
+	proves bool // The request may find out whether a server works again.
+	spares bool // The servers that are not sure to work are not needed.
+}
+
+// class puts servers into classes, the best first.
+func (k ranking) class(v *server) int {
+	switch {
+	case !v.trusted():
+		return 5
+	case v.resting(k.now):
+		return 4
+	case v.unproven(k.now) && k.proves:
+		return 0
+	case v.unproven(k.now) && k.spares:
+		return 3
+	case v.cold(k.now):
+		return 2
+	default:
+		return 1
 	}
-	if a, b := v.roomyIn(near), o.roomyIn(near); a != b {
+}
+
+// before reports whether one server goes before another: by their classes; then
+// those in the sender's data centre that have more than one slot free, since
+// bytes between data centres are dear; then those with the smallest share of
+// their slots in use; then the one that has waited longest. Evidence short of a
+// failure does not count: a server that got less work for it would never be
+// proved sick or well.
+func (k ranking) before(v, o *server) bool {
+	if a, b := k.class(v), k.class(o); a != b {
+		return a < b
+	}
+	if a, b := v.roomyIn(k.near), o.roomyIn(k.near); a != b {
 		return a
 	}
 	if c := cmp.Compare(v.inUse*o.warm, o.inUse*v.warm); c != 0 {
@@ -358,11 +412,11 @@
 // sent elsewhere. Time must be left for that.
 func (p *Pool) patience(now time.Time, r Request, v *server, trial bool) time.Duration {
 	m := p.median(r.Rule, v)
-	ratio := float64(patienceRatio)
+	d := scale(p.slowest(r.Rule, v), patienceRatio)
 	if trial {
-		ratio = trialPatience
+		d = scale(m, trialPatience)
 	}
-	d := min(max(scale(m, ratio), minPatience), maxPatience)
+	d = min(max(d, minPatience), maxPatience)
 	if most := r.Deadline.Sub(now) - scale(m, againRatio); most > minPatience {
 		d = min(d, most)
 	}
@@ -391,17 +445,47 @@
 	if p.queue.len() == 0 {
 		return out
 	}
+	free := p.free(now)
+	if free == 0 && now.Sub(p.swept) < sweepGap {
+		return out
+	}
+	p.swept = now
+	return append(out, p.sweep(now, free)...)
+}
+
+// sweepGap is the rest between two looks for waiting requests that have become
+// hopeless.
+const sweepGap = 25 * time.Millisecond
+
+// free returns how many more requests some server could take, resting and
+// doubted ones included.
+func (p *Pool) free(now time.Time) int {
+	n := 0
+	for _, v := range p.order {
+		if v.open(now, true) {
+			n += v.room(now) - v.inUse
+		}
+	}
+	return n
+}
+
+// sweep goes through the queue in its order.
+func (p *Pool) sweep(now time.Time, free int) []Wakeup {
+	var out []Wakeup
 	late := func(r Request) bool { return p.late(now, r) }
-	place, slots := 0, max(1, p.slots())
+	place, slots := 0, max(1, p.slots(now))
 	for _, w := range p.queue.inOrder(late) {
-		if v := p.choose(now, w.request, !p.usable(w.request)); v != nil {
-			p.queue.serve(w)
-			out = append(out, Wakeup{w.ticket, p.grant(now, v, w.request, false)})
-			continue
+		if free > 0 {
+			if v := p.choose(now, w.request, !p.usable(now, w.request)); v != nil {
+				free--
+				p.queue.serve(w)
+				out = append(out, Wakeup{w.ticket, p.grant(now, v, w.request, false)})
+				continue
+			}
 		}
-		if wait := p.waitBehind(place, slots); p.tooLong(now, w.request, wait-p.waitBehind(0, slots)) {
+		if now.Add(p.waitBehind(place, slots) - p.waitBehind(0, slots)).After(w.latest) {
 			p.queue.remove(w.ticket)
-			out = append(out, Wakeup{w.ticket, p.refuse(wait)})
+			out = append(out, Wakeup{w.ticket, p.refuse(p.waitBehind(place, slots))})
 			continue
 		}
 		place++
--- a/pkg/pool/queue.go
+++ b/pkg/pool/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"laburnumpick.org/pkg/site"
 )
@@ -14,6 +15,7 @@
 type waiter struct {
 	ticket  Ticket
 	request Request
+	latest  time.Time // Until when it may wait.
 }
 
 // queue holds waiting requests. Its order is: the more urgent first; among
@@ -31,9 +33,9 @@
 
 func (q *queue) len() int { return len(q.waiters) }
 
-func (q *queue) push(r Request) Ticket {
+func (q *queue) push(r Request, latest time.Time) Ticket {
 	q.next++
-	q.waiters = append(q.waiters, waiter{q.next, r})
+	q.waiters = append(q.waiters, waiter{q.next, r, latest})
 	return q.next
 }
 
--- a/pkg/pool/report.go
+++ b/pkg/pool/report.go
@@ -107,6 +107,7 @@
 }
 
 func (p *Pool) served(now time.Time, v *server, r Served, trial bool) {
+	v.rest.end()
 	slow := p.tooSlow(v, r.Rule, r.Took)
 	ms := milliseconds(r.Took)
 	v.addFailure(false, p.peersFailRate(v))
@@ -132,11 +133,16 @@
 }
 
 func (p *Pool) failed(now time.Time, v *server, r Failed, trial bool) {
+	v.rest.begin(now)
 	v.addFailure(true, p.peersFailRate(v))
 	if trial && !v.trusted() {
 		p.tried(now, v, true)
 		return
 	}
+	if v.spell >= spellsToDoubt && v.trusted() && p.mayDoubt() && !p.commonCause(v) {
+		v.doubt(now, fmt.Sprintf("it failed %d times with a rest after each; its last failure: %s", v.spell, r.Detail))
+		return
+	}
 	p.judge(now, v, r.Rule, func() string { return "its last failure: " + r.Detail })
 }
 
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -51,6 +51,7 @@
 	pausedUntil time.Time
 	coldTill    time.Time // Until when it is slow after its start.
 	departing   bool      // It registered as leaving.
+	rest                  // After a failure.
 
 	detector
 	reason    string    // Why it is not healthy.
@@ -71,12 +72,24 @@
 // trusted reports whether requests of all classes may go to the server.
 func (v *server) trusted() bool { return v.state == Healthy || v.state == Warming }
 
-// open reports whether the server has a free slot for an ordinary request.
+// open reports whether the server has a free slot for an ordinary request. As a
+// last resort doubted and resting servers are open too.
 func (v *server) open(now time.Time, lastResort bool) bool {
 	if !v.trusted() && (!lastResort || v.state != Doubted) {
 		return false
 	}
-	return v.inUse < v.warm && !v.pausedUntil.After(now)
+	if v.resting(now) && !lastResort {
+		return false
+	}
+	return v.inUse < v.room(now) && !v.pausedUntil.After(now)
+}
+
+// room returns how many requests the server may run at once by now.
+func (v *server) room(now time.Time) int {
+	if v.unproven(now) {
+		return min(1, v.warm)
+	}
+	return v.warm
 }
 
 // cold reports whether the server is slow after its start.
--- a/pkg/trial/fleet.go
+++ b/pkg/trial/fleet.go
@@ -193,7 +193,7 @@
 		},
 		Alone: f.opts.Alone,
 	}
-	d, err := daemon.New(&set, nw, &storeLink{Store: f.Store, fleet: f, host: name})
+	d, err := daemon.New(&set, nw, daemon.Platform{Store: &storeLink{Store: f.Store, fleet: f, host: name}})
 	if err != nil {
 		return nil, err
 	}
