--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -159,8 +159,11 @@
 		address string
 		to      *net.Listener
 	}{
-		{set.Listen.Callers, &ls.callers}, {set.Listen.VMs, &ls.vms}, {set.Listen.Operators, &ls.operators},
-		{set.Listen.Health, &ls.health}, {set.Listen.Metrics, &ls.metrics},
+		{set.Listen.Callers, &ls.callers},
+		{set.Listen.VMs, &ls.vms},
+		{set.Listen.Operators, &ls.operators},
+		{set.Listen.Health, &ls.health},
+		{set.Listen.Metrics, &ls.metrics},
 	} {
 		if w.address == "" {
 			continue
--- a/pkg/pool/report.go
+++ b/pkg/pool/report.go
@@ -107,7 +107,7 @@
 }
 
 func (p *Pool) served(now time.Time, v *server, r Served, trial bool) {
-	v.rest.end()
+	v.end()
 	slow := p.tooSlow(v, r.Rule, r.Took)
 	ms := milliseconds(r.Took)
 	v.addFailure(false, p.peersFailRate(v))
@@ -133,7 +133,7 @@
 }
 
 func (p *Pool) failed(now time.Time, v *server, r Failed, trial bool) {
-	v.rest.begin(now)
+	v.begin(now)
 	v.addFailure(true, p.peersFailRate(v))
 	if trial && !v.trusted() {
 		p.tried(now, v, true)
