--- a/pkg/backend/link.go
+++ b/pkg/backend/link.go
@@ -23,8 +23,8 @@
 // Bounds of the connections to one peer.
 const (
 	maxIdle     = 16
-	maxIdleTime = 5 * time.Second // Where the peer does not tell.
-	dialTimeout = 500 * time.Millisecond
+	maxIdleTime = 5 * time.Second        // Where the peer does not tell.
+	dialTimeout = 250 * time.Millisecond // Many times a round trip within a region.
 )
 
 // Link holds the connections to one peer.
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -100,6 +100,7 @@
 	home       *home.Home
 	dispatcher *dispatch.Dispatcher
 	callers    *caller.Server
+	listener   net.Listener // For callers.
 	node       *fleet.Node
 	entry      *entry.Entry
 	tree       *suture.Supervisor
@@ -264,7 +265,7 @@
 func (d *Daemon) serve(ls *listeners, c *operator.Console) {
 	set := d.set
 	d.callers = caller.New(caller.Config{Handler: d.entry, Limits: d.callerLimits, Parallel: d.entry.Parallel})
-	callers := newLimitListener(ls.callers, set.Limits.Connections, set.Limits.ConnectionsFromOne)
+	d.listener = newLimitListener(ls.callers, set.Limits.Connections, set.Limits.ConnectionsFromOne)
 	d.servers = []*server{
 		newServer("vms", ls.vms, d.vmHandler(), set),
 		newServer("operators", ls.operators, d.operatorHandler(c), set),
@@ -285,7 +286,7 @@
 	}
 	d.tree.Add(control)
 	traffic := suture.New("traffic", suture.Spec{EventHook: logEvent})
-	traffic.Add(&callerService{d.callers, callers})
+	traffic.Add(&callerService{d.callers, d.listener})
 	for _, s := range d.servers {
 		traffic.Add(s)
 	}
@@ -296,7 +297,7 @@
 	now := time.Now()
 	cfg := fleet.Config{
 		Self: self, Store: p.Store, Source: p.Source, Replica: d.replica, Home: d.home, Journal: jr,
-		HTTP: &http.Client{Transport: d.transport(nw)}, Dial: nw.Dial, Token: d.set.Access.FleetToken,
+		HTTP: &http.Client{Transport: fleet.Lean{Next: d.transport(nw)}}, Dial: nw.Dial, Token: d.set.Access.FleetToken,
 		Scope: d.tel.Scope.SubScope("fleet"), Rand: rand.New(rand.NewPCG(uint64(now.UnixNano()), 0)),
 		Servers: p.Servers, Registry: d.registry, Keyed: keyed{d}, Alone: nw.Alone,
 		ListGap: listGap, ListReaders: listReaders,
@@ -457,14 +458,15 @@
 func (d *Daemon) drain() error {
 	klog.InfoS("daemon: stopping", "vm", d.addr.VM, "inFlight", d.entry.InFlight())
 	stop := d.current.Load().Stop.Times()
-	d.entry.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), stop.LastAnswers+stop.Idle+stop.Rest)
+	whole := stop.LastAnswers + stop.Idle + stop.Rest
+	d.entry.Stop(time.Now().Add(whole))
+	ctx, cancel := context.WithTimeout(context.Background(), whole)
 	defer cancel()
 	go d.node.Leave(ctx)
 	time.Sleep(stop.LastAnswers)
 	d.callers.LastAnswers()
 	time.Sleep(stop.Idle)
-	errs := []error{d.callers.Shutdown(ctx)}
+	errs := []error{d.listener.Close(), d.callers.Shutdown(ctx)}
 	for _, s := range d.servers {
 		s.close()
 		errs = append(errs, s.shutdown(ctx))
--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -256,7 +256,9 @@
 		return
 	}
 	if a.Status >= http.StatusInternalServerError {
-		t.report = pool.Failed{Rule: j.Match.Rule, Took: took, Detail: fmt.Sprintf("status %d", a.Status)}
+		t.report = pool.Failed{
+			Rule: j.Match.Rule, Took: took, Detail: fmt.Sprintf("status %d", a.Status), Answered: true,
+		}
 		return
 	}
 	t.report = pool.Served{Rule: j.Match.Rule, Took: took}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -89,6 +89,7 @@
 	vouches  *account.Limiter
 	inFlight atomic.Int64
 	stopping atomic.Bool
+	endsAt   atomic.Pointer[time.Time] // When the process ends, once it stops.
 }
 
 // New returns an entry.
@@ -96,8 +97,24 @@
 	return &Entry{cfg: cfg, limiter: account.NewLimiter(), vouches: account.NewLimiter()}
 }
 
-// Stop turns the health answer, so that the balancer sends no new callers.
-func (e *Entry) Stop() { e.stopping.Store(true) }
+// Stop turns the health answer, so that the balancer sends no new callers. The
+// process ends at the given time: a request that may still run then is refused.
+func (e *Entry) Stop(end time.Time) {
+	e.endsAt.Store(&end)
+	e.stopping.Store(true)
+}
+
+// refuseLate refuses a request that may run longer than this VM does.
+func (e *Entry) refuseLate(now time.Time, runs time.Duration) *outcome.Failure {
+	end := e.endsAt.Load()
+	if end == nil || now.Add(runs).Before(*end) {
+		return nil
+	}
+	return outcome.New(outcome.Overload, "this VM stops; come back at once to reach another one").After(comeBack)
+}
+
+// comeBack is when a caller may come back that a stopping VM refused.
+const comeBack = 20 * time.Millisecond
 
 // InFlight returns how many callers' requests run.
 func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
@@ -226,6 +243,10 @@
 	if f := x.route(r); f != nil {
 		return f
 	}
+	left := x.deadline(r)
+	if f := e.refuseLate(time.Now(), left); f != nil {
+		return x.vouched(ctx, f)
+	}
 	if e.inFlight.Add(1) > e.cfg.Limits().MaxRequests {
 		e.inFlight.Add(-1)
 		return x.vouched(ctx, outcome.New(outcome.Overload, "this VM runs as many requests as it may"))
@@ -236,7 +257,7 @@
 		return x.vouched(ctx, f.After(wait))
 	}
 	defer e.limiter.Leave(x.account)
-	ctx, cancel := context.WithTimeout(ctx, x.deadline(r))
+	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	if f := x.readBody(r); f != nil {
 		return f
--- a/pkg/fleetapi/grants.go
+++ b/pkg/fleetapi/grants.go
@@ -132,6 +132,7 @@
 		req.Report, req.Rule, req.TookUs = reportServed, string(r.Rule), r.Took.Microseconds()
 	case pool.Failed:
 		req.Report, req.Rule, req.TookUs, req.Detail = reportFailed, string(r.Rule), r.Took.Microseconds(), r.Detail
+		req.Answered = r.Answered
 	case pool.Declined:
 		req.Report, req.Why = reportDeclined, string(r.Why)
 	case pool.Dropped:
@@ -154,7 +155,7 @@
 	case reportServed:
 		e.Report = pool.Served{Rule: rule, Took: took}
 	case reportFailed:
-		e.Report = pool.Failed{Rule: rule, Took: took, Detail: m.GetDetail()}
+		e.Report = pool.Failed{Rule: rule, Took: took, Detail: m.GetDetail(), Answered: m.GetAnswered()}
 	case reportDeclined:
 		e.Report = pool.Declined{Why: pool.Refusal(m.GetWhy())}
 	case reportDropped:
--- a/pkg/pool/intent.go
+++ b/pkg/pool/intent.go
@@ -52,10 +52,6 @@
 
 // intent returns what is wanted for one server, or nil.
 func (p *Pool) intent(now time.Time, v *server, recorded bool) Intent {
-	if v.unsure != "" && !v.trying {
-		v.trying = true
-		return Reach{v.cfg}
-	}
 	switch v.state {
 	case Doubted:
 		if p.ask(now, v) {
@@ -140,32 +136,30 @@
 	return []Event{{n, from, to, reason}}
 }
 
-// Reached tells the result of a Reach.
+// Reached tells the result of a Reach. The home's own link may be cut, so after
+// a while the server is used again all the same.
 func (p *Pool) Reached(now time.Time, n site.ServerName, ok bool) []Event {
 	v, known := p.servers[n]
 	if !known {
 		return nil
 	}
 	v.trying = false
-	why := v.unsure
-	v.unsure = ""
-	switch {
-	case ok && v.state == Down:
-		v.move(now, Warming, "it takes connections again")
-		return []Event{{n, Down, Warming, v.reason}}
-	case ok || v.state == Leaving || v.state == Held:
+	if v.state != Down {
 		return nil
-	case v.state == Down:
+	}
+	if !ok && now.Sub(v.since) < longestDown {
 		v.passed++
 		v.nextTrial = now.Add(v.reachGap())
 		return nil
 	}
-	from := v.state
-	v.move(now, Down, why)
-	v.nextTrial = now.Add(v.reachGap())
-	return []Event{{n, from, Down, why}}
+	v.move(now, Warming, "it takes connections again, or has been down for long")
+	return []Event{{n, Down, Warming, v.reason}}
 }
 
+// longestDown is how long a server that crashed is left out. Those that crash
+// are back after some seconds.
+const longestDown = 6 * time.Second
+
 // ServerView is what the pool believes of one server.
 type ServerView struct {
 	Server   site.Server `json:"server"`
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -108,6 +108,7 @@
 	// repeatableAt is when the last repeatable request came.
 	repeatableAt time.Time
 	swept        time.Time // When the queue was last gone through.
+	trouble      trouble
 }
 
 // outstanding is a grant that has not been released.
@@ -182,6 +183,7 @@
 		p.budget.earn(now)
 	}
 	if refused, stop := p.barred(now, r); stop {
+		p.trouble.ended(now, true)
 		return refused
 	}
 	if v := p.trial(now, r); v != nil {
@@ -233,6 +235,7 @@
 	}
 	latest := p.latest(now, r)
 	if now.Add(wait).After(latest) && !p.queue.evictFor(r) {
+		p.trouble.ended(now, true)
 		return p.refuse(wait)
 	}
 	if p.queue.len() >= maxQueue {
@@ -305,9 +308,12 @@
 // picked as well.
 func (p *Pool) choose(now time.Time, r Request, lastResort bool) *server {
 	var best *server
-	by := ranking{now: now, near: r.DataCentre, proves: p.proves(now, r), spares: p.maySpare(now)}
+	by := ranking{
+		now: now, near: r.DataCentre, proves: p.proves(now, r),
+		trouble: p.trouble.is(now) && !r.Suspect,
+	}
 	for _, v := range p.order {
-		if !v.open(now, lastResort) || slices.Contains(r.Exclude, v.cfg.Name) || (r.Suspect && v.suspect) {
+		if !v.open(now, lastResort, by.trouble) || slices.Contains(r.Exclude, v.cfg.Name) || (r.Suspect && v.suspect) {
 			continue
 		}
 		if best == nil || by.before(v, best) {
@@ -329,19 +335,22 @@
 	now    time.Time
 	near   site.DataCentre
 	proves bool // The request may find out whether a server works again.
-	spares bool // The servers that are not sure to work are not needed.
+	// trouble says that the service fails many requests.
+	trouble bool
 }
 
 // class puts servers into classes, the best first.
 func (k ranking) class(v *server) int {
 	switch {
+	case k.trouble && v.starved(k.now):
+		return 0
 	case !v.trusted():
 		return 5
 	case v.resting(k.now):
 		return 4
 	case v.unproven(k.now) && k.proves:
 		return 0
-	case v.unproven(k.now) && k.spares:
+	case v.unproven(k.now):
 		return 3
 	case v.cold(k.now):
 		return 2
@@ -391,6 +400,7 @@
 	p.seq++
 	v.inUse++
 	v.lastGrant = p.seq
+	v.grantedAt = now
 	v.trying = v.trying || trial
 	v.suspect = v.suspect || r.Suspect
 	if r.Sends > 0 {
@@ -462,7 +472,7 @@
 func (p *Pool) free(now time.Time) int {
 	n := 0
 	for _, v := range p.order {
-		if v.open(now, true) {
+		if v.open(now, true, false) {
 			n += v.room(now) - v.inUse
 		}
 	}
--- a/pkg/pool/report.go
+++ b/pkg/pool/report.go
@@ -19,9 +19,10 @@
 
 // Failed means that the server answered wrongly, or not in its patience.
 type Failed struct {
-	Rule   site.RuleName
-	Took   time.Duration
-	Detail string
+	Rule     site.RuleName
+	Took     time.Duration
+	Detail   string
+	Answered bool // It gave a whole answer, which tells of a failure.
 }
 
 // Declined means that the server refused before its handler ran.
@@ -83,6 +84,7 @@
 		v.suspect = false
 	}
 	before := v.state
+	p.count(now, v, r)
 	p.weigh(now, v, r, g.Trial)
 	if v.state == before || p.servers[v.cfg.Name] != v {
 		return nil
@@ -90,6 +92,18 @@
 	return []Event{{v.cfg.Name, before, v.state, v.reason}}
 }
 
+// count notes how a request ended.
+func (p *Pool) count(now time.Time, v *server, r Report) {
+	switch r.(type) {
+	case Failed, Unreached, Declined:
+		v.failedAt = now
+		p.trouble.ended(now, true)
+	case Served:
+		p.trouble.ended(now, false)
+	case Dropped:
+	}
+}
+
 // weigh takes a report as evidence.
 func (p *Pool) weigh(now time.Time, v *server, r Report, trial bool) {
 	switch r := r.(type) {
@@ -108,6 +122,7 @@
 
 func (p *Pool) served(now time.Time, v *server, r Served, trial bool) {
 	v.end()
+	v.servedAt = now
 	slow := p.tooSlow(v, r.Rule, r.Took)
 	ms := milliseconds(r.Took)
 	v.addFailure(false, p.peersFailRate(v))
@@ -133,7 +148,11 @@
 }
 
 func (p *Pool) failed(now time.Time, v *server, r Failed, trial bool) {
-	v.begin(now)
+	// Good servers answer a request with a failure of its own now and then. A
+	// connection that breaks tells of the server.
+	if !r.Answered || v.failRate >= answeredRate {
+		v.begin(now)
+	}
 	v.addFailure(true, p.peersFailRate(v))
 	if trial && !v.trusted() {
 		p.tried(now, v, true)
@@ -236,20 +255,23 @@
 	}
 }
 
-// unreached takes in that a VM could not open a connection. The link may be
-// cut for that VM alone, so the home looks for itself unless the server is known
-// to have gone down.
+// unreached takes in that a VM could not open a connection. Where others have
+// just been served, the link is cut for that VM alone, which leaves the server
+// out by itself.
 func (p *Pool) unreached(now time.Time, v *server, r Unreached) {
 	switch {
 	case v.state == Held || v.state == Leaving:
 	case r.Crashed:
 		v.move(now, Down, "it went down during a request")
 		v.nextTrial = now.Add(v.reachGap())
-	case v.state != Down:
-		v.unsure = "no connection: " + r.Detail
+	case now.Sub(v.servedAt) > servedLately:
+		v.begin(now)
 	}
 }
 
+// servedLately is how long after an answer a server counts as reachable.
+const servedLately = time.Second
+
 // depart takes a server out that registered as leaving.
 func (p *Pool) depart(now time.Time, v *server, reason string) []Event {
 	v.departing = true
--- a/pkg/pool/rest.go
+++ b/pkg/pool/rest.go
@@ -14,6 +14,9 @@
 	// spellsToDoubt is how many rests in a row without a success between them make
 	// a server doubted.
 	spellsToDoubt = 3
+	// answeredRate is the share of answers that tell of a failure from which on
+	// they are the server's own.
+	answeredRate = 0.06
 )
 
 // rest is a pause that a server is given after a failure. It stays capacity and
@@ -43,19 +46,3 @@
 func (r *rest) unproven(now time.Time) bool {
 	return r.spell > 0 && !r.resting(now) && now.Sub(r.till) < provenAfter
 }
-
-// maySpare reports whether the service keeps its floor without the servers that
-// rest or are unproven, so that these can be left to last.
-func (p *Pool) maySpare(now time.Time) bool {
-	sure, all := 0, 0
-	for _, v := range p.order {
-		if v.state == Leaving || v.state == Down || v.state == Held {
-			continue
-		}
-		all++
-		if v.trusted() && !v.resting(now) && !v.unproven(now) {
-			sure++
-		}
-	}
-	return p.set.Floor == nil || sure >= p.set.Floor(all)
-}
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -48,6 +48,9 @@
 	inUse       int
 	warm        int     // Slots that are open.
 	lastGrant   GrantID // The last one that it got.
+	grantedAt   time.Time
+	failedAt    time.Time // When a request last failed on it.
+	servedAt    time.Time // When it last gave a good answer.
 	pausedUntil time.Time
 	coldTill    time.Time // Until when it is slow after its start.
 	departing   bool      // It registered as leaving.
@@ -58,7 +61,6 @@
 	strikes   int       // How often it was doubted lately.
 	struckAt  time.Time // When it was last doubted.
 	nextTrial time.Time
-	unsure    string    // Why a VM could not reach it, until the home has looked.
 	suspect   bool      // It runs a request that has taken a server down.
 	trying    bool      // A trial or a check of its reach is on its way.
 	passed    int       // Good trials, or good answers while warming.
@@ -66,15 +68,19 @@
 }
 
 func newServer(now time.Time, cfg site.Server) *server {
-	return &server{cfg: cfg, state: Healthy, since: now, warm: cfg.Slots, detector: newDetector()}
+	return &server{cfg: cfg, state: Healthy, since: now, grantedAt: now, warm: cfg.Slots, detector: newDetector()}
 }
 
 // trusted reports whether requests of all classes may go to the server.
 func (v *server) trusted() bool { return v.state == Healthy || v.state == Warming }
 
 // open reports whether the server has a free slot for an ordinary request. As a
-// last resort doubted and resting servers are open too.
-func (v *server) open(now time.Time, lastResort bool) bool {
+// last resort doubted and resting servers are open too, and in trouble those
+// that got nothing for a while.
+func (v *server) open(now time.Time, lastResort, trouble bool) bool {
+	if trouble && v.starved(now) {
+		return v.inUse < max(1, v.warm)
+	}
 	if !v.trusted() && (!lastResort || v.state != Doubted) {
 		return false
 	}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -60,7 +60,8 @@
 	helpers      = 3
 	spreadFactor = 3 // Times log2 of the members that an update is passed on.
 	maxPiggyback = 24
-	minPiggyback = 6 // Old facts fill a message up to here, to mend what was missed.
+	minPiggyback = 2 // Old facts fill a message up to here, to mend what was missed.
+	farEvery     = 8 // One ping in so many leaves the data centre.
 	missesAlone  = 3 // Pings missed in a row before a VM doubts itself.
 )
 
@@ -76,8 +77,9 @@
 	self    *member
 	members map[VMName]*member
 	order   []VMName // The round of pings.
-	turn    int
-	misses  int // Pings that nobody answered, in a row.
+	turns   [2]int   // Places in the round, of pings to near and far VMs.
+	round   int      // Counts pings.
+	misses  int      // Pings that nobody answered, in a row.
 	news    bool
 	changed bool               // The view has to be made anew.
 	due     map[VMName]*member // Facts that are still to be passed on.
@@ -135,17 +137,33 @@
 	r.publish()
 }
 
-// Next returns the VM to ping in this period, or false where there is none.
+// Next returns the VM to ping in this period, or false where there is none. Most
+// pings stay in this VM's data centre, since bytes between data centres are dear
+// and VMs fail one by one.
 func (r *Roster) Next() (VM, bool) {
+	r.round++
+	far := r.round%farEvery == 0
+	if vm, ok := r.next(far); ok {
+		return vm, true
+	}
+	return r.next(!far)
+}
+
+// next goes on in the round of pings to the next VM that is far or near.
+func (r *Roster) next(far bool) (VM, bool) {
+	turn := &r.turns[0]
+	if far {
+		turn = &r.turns[1]
+	}
 	for range 2 * len(r.order) {
-		if r.turn >= len(r.order) {
-			r.turn = 0
+		if *turn >= len(r.order) {
+			*turn = 0
 			r.rng.Shuffle(len(r.order), func(i, j int) { r.order[i], r.order[j] = r.order[j], r.order[i] })
 		}
-		n := r.order[r.turn]
-		r.turn++
+		n := r.order[*turn]
+		*turn++
 		m, ok := r.members[n]
-		if ok && m.Status != Dead {
+		if ok && m.Status != Dead && (m.DataCentre != r.self.DataCentre) == far {
 			return m.VM, true
 		}
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -126,8 +126,8 @@
 // the longest request that came before that must still be able to end.
 const (
 	graceLastAnswers = 0.50
-	graceIdle        = 0.23
-	graceRest        = 0.22
+	graceIdle        = 0.08
+	graceRest        = 0.37
 )
 
 // Times returns the parts of a planned stop.
