An account of each decision: structured lines, bounded and never blocking

Cause: on-call engineers have only logs and metrics, and the daemon had about fourteen free log calls. Now each failed request, refusal, try, change of a server's state, member, registered server, configuration and dependency has a line with its inputs and their age or version; usual decisions are sampled and what is left out is counted.

--- a/cmd/laburnumpickd/main.go
+++ b/cmd/laburnumpickd/main.go
@@ -9,9 +9,9 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
-	"k8s.io/klog/v2"
 
 	"laburnumpick.org/pkg/daemon"
 	"laburnumpick.org/pkg/settings"
@@ -37,7 +37,6 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	status := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
-	klog.Flush()
 	os.Exit(status)
 }
 
@@ -77,11 +76,21 @@
 	return status
 }
 
+// accountPatience is how long the last lines may take to be written.
+const accountPatience = 200 * time.Millisecond
+
 func serve(ctx context.Context, file string, set *settings.Settings) error {
 	if err := telemetry.SetVerbosity(set.Log.Verbosity); err != nil {
 		return err
 	}
+	signal.Ignore(syscall.SIGPIPE) // A reader of the account that is gone must not end the process.
+	account, err := telemetry.LogTo(os.Stdout)
+	if err != nil {
+		return err
+	}
+	defer account.Close(accountPatience)
 	nw := daemon.TCP()
+	nw.Account = account
 	d, err := daemon.New(set, nw, platformOf(set, nw))
 	if err != nil {
 		return err
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"laburnumpick.org/pkg/operator"
 	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/quarantine"
+	"laburnumpick.org/pkg/record"
 	"laburnumpick.org/pkg/registry"
 	"laburnumpick.org/pkg/roster"
 	"laburnumpick.org/pkg/settings"
@@ -55,6 +56,8 @@
 	// Alone makes the VM decide by its own knowledge only: it is the home of
 	// all pools. It is the baseline of experiments and no setting.
 	Alone bool
+	// Account, if set, is where lines that were lost are counted.
+	Account *record.Writer
 }
 
 // TCP is the network of real VMs.
@@ -258,11 +261,11 @@
 		Node: d.node, Home: d.home, Keyed: d.dispatcher, Log: lg, Replica: d.replica, Store: p.Store, Journal: jr,
 		Stop: d.Stop,
 	})
-	d.serve(ls, console)
+	d.serve(nw, ls, console)
 }
 
 // serve makes the tree of services.
-func (d *Daemon) serve(ls *listeners, c *operator.Console) {
+func (d *Daemon) serve(nw Network, ls *listeners, c *operator.Console) {
 	set := d.set
 	d.callers = caller.New(caller.Config{Handler: d.entry, Limits: d.callerLimits, Parallel: d.entry.Parallel})
 	d.listener = newLimitListener(ls.callers, set.Limits.Connections, set.Limits.ConnectionsFromOne)
@@ -281,6 +284,9 @@
 	control.Add(d.home.Loop())
 	control.Add(d.dispatcher.Settler())
 	control.Add(&pruner{d.dispatcher})
+	if nw.Account != nil {
+		control.Add(record.Summaries{Writer: nw.Account})
+	}
 	for _, s := range d.node.Services() {
 		control.Add(s)
 	}
@@ -356,7 +362,7 @@
 	return entry.Config{
 		Self: self, Site: site.Name(d.set.VM.Site), Replica: d.replica,
 		Holder: fleet.Holder{Node: d.node}, Tracer: d.tel.Tracer, Scope: d.tel.Scope.SubScope("entry"),
-		Dispatcher: d.dispatcher, Ready: d.unready, FractionalRetry: d.set.Callers.FractionalRetryAfter,
+		Dispatcher: d.dispatcher, Ready: d.unready, PlatformAge: d.node.StoreAway, FractionalRetry: d.set.Callers.FractionalRetryAfter,
 		Limits: d.entryLimits,
 	}
 }
@@ -438,7 +444,7 @@
 	tree, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	ended := d.tree.ServeBackground(tree)
-	klog.InfoS("daemon: serving", "vm", d.addr.VM, "callers", d.addr.Callers, "vms", d.addr.VMs, "operators", d.addr.Operators)
+	klog.InfoS("daemon: serving", "vm", d.addr.VM, "dataCentre", d.set.VM.DataCentre, "callers", d.addr.Callers, "vms", d.addr.VMs, "operators", d.addr.Operators)
 	select {
 	case <-ctx.Done():
 	case <-d.stopped:
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -28,6 +28,7 @@
 // Seat is a granted slot. It ends with Release.
 type Seat interface {
 	Grant() pool.Granted
+	Home() string // The VM that granted it.
 	Release(e home.Ended)
 }
 
--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -14,13 +14,14 @@
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
-	"k8s.io/klog/v2"
 
 	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/home"
 	"laburnumpick.org/pkg/outcome"
 	"laburnumpick.org/pkg/pool"
+	"laburnumpick.org/pkg/record"
 	"laburnumpick.org/pkg/site"
+	"laburnumpick.org/pkg/telemetry"
 )
 
 // reachTimeout bounds the look whether a server that cut a connection is down.
@@ -183,10 +184,21 @@
 	if t.err != nil {
 		span.SetStatus(codes.Error, t.err.Error())
 	}
-	if t.answer == nil {
-		klog.InfoS("dispatch: try failed", "id", j.Request.ID, "server", g.Server.Name, "took", time.Since(start),
-			"stage", stageOf(t), "reason", t.failure().Detail())
+	d.tell(j, t, time.Since(start))
+}
+
+// tell accounts for a try, with what decided it.
+func (d *Dispatcher) tell(j *Job, t *try, took time.Duration) {
+	scope := d.cfg.Scope.Tagged(map[string]string{"end": fmt.Sprintf("%T", t.report)[len("pool."):]})
+	scope.Counter("tries").Inc(1)
+	scope.Histogram("serverSeconds", telemetry.Seconds).RecordDuration(took)
+	if t.answer != nil {
+		return // The entry's line tells of it.
 	}
+	record.Notable("dispatch: try failed", "id", j.Request.ID, "server", t.grant.Server.Name,
+		"home", t.seat.Home(), "took", took.Round(time.Millisecond), "patience", t.grant.Patience,
+		"trial", t.grant.Trial, "beaten", t.beaten.Load(), "registry", d.cfg.Registry.State().Revision,
+		"stage", stageOf(t), "reason", t.failure().Detail())
 }
 
 // stageOf says how far a failed try came.
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -29,8 +29,10 @@
 	"laburnumpick.org/pkg/dispatch"
 	"laburnumpick.org/pkg/outcome"
 	"laburnumpick.org/pkg/quarantine"
+	"laburnumpick.org/pkg/record"
 	"laburnumpick.org/pkg/roster"
 	"laburnumpick.org/pkg/site"
+	"laburnumpick.org/pkg/telemetry"
 )
 
 // Headers that callers may send.
@@ -78,6 +80,8 @@
 	Dispatcher *dispatch.Dispatcher
 	// Ready returns why this VM cannot serve callers, or "".
 	Ready func() string
+	// PlatformAge tells for how long this VM has not known the platform's state.
+	PlatformAge func(now time.Time) time.Duration
 	// FractionalRetry writes Retry-After with fractions of a second.
 	FractionalRetry bool
 }
@@ -170,6 +174,8 @@
 	request *backend.Request
 	print   quarantine.Fingerprint
 	began   time.Time
+	result  *dispatch.Result // Of the last run, or nil.
+	status  int              // Of the server's answer that was passed on.
 }
 
 // askAt returns where the outcome of the exchange's key can be asked.
@@ -195,9 +201,37 @@
 		span.SetStatus(codes.Error, kind)
 		x.refuse(f)
 	}
-	scope := e.cfg.Scope.Tagged(map[string]string{"kind": kind})
+	x.tell(time.Now(), r, f)
+	scope := e.cfg.Scope.Tagged(map[string]string{"kind": kind, "priority": strconv.Itoa(x.match.Priority)})
 	scope.Counter("requests").Inc(1)
-	scope.Timer("requestTime").Record(time.Since(start))
+	scope.Histogram("requestSeconds", telemetry.Seconds).RecordDuration(time.Since(x.began))
+}
+
+// tell accounts for what became of a request, with what decided it.
+func (x *exchange) tell(now time.Time, r *http.Request, f *outcome.Failure) {
+	st := x.entry.cfg.Replica.State()
+	var server site.ServerName
+	tries := 0
+	if x.result != nil {
+		server, tries = x.result.Server, x.result.Tries
+	}
+	line := []any{
+		"id", x.id, "rule", x.match.Rule, "service", x.match.Service, "server", server, "tries", tries,
+		"took", now.Sub(x.began).Round(time.Millisecond), "config", st.Version,
+	}
+	if f == nil && x.status < http.StatusInternalServerError {
+		record.Usual(now, record.Answered, "entry: answered", append(line, "status", x.status)...)
+		return
+	}
+	line = append(line, "timeout", x.match.Timeout, "callerLeft", r.Header.Get(HeaderDeadlineMs),
+		"configAge", now.Sub(st.Since).Round(time.Millisecond),
+		"platformAge", x.entry.cfg.PlatformAge(now).Round(time.Millisecond))
+	if f == nil {
+		record.Notable("entry: server answered with a failure", append(line, "status", x.status)...)
+		return
+	}
+	record.Notable("entry: failed", append(line, "kind", f.Kind, "outcome", f.Outcome(),
+		"retryAfter", f.ComeBack(), "detail", f.Detail())...)
 }
 
 // maxRequestID is the longest id of a request that is taken from its caller, in
@@ -265,7 +299,7 @@
 	if x.key != "" {
 		return x.runKeyed(ctx)
 	}
-	a, res := e.cfg.Dispatcher.Run(ctx, x.job(nil))
+	a, res := x.run(ctx, nil)
 	if a == nil {
 		return res.Failure
 	}
@@ -273,6 +307,13 @@
 	return nil
 }
 
+// run runs the request on backend servers.
+func (x *exchange) run(ctx context.Context, once *dispatch.Once) (*backend.Answer, *dispatch.Result) {
+	a, res := x.entry.cfg.Dispatcher.Run(ctx, x.job(once))
+	x.result = res
+	return a, res
+}
+
 // job returns the request as the dispatcher runs it. once is nil for requests
 // without a key.
 func (x *exchange) job(once *dispatch.Once) *dispatch.Job {
@@ -377,6 +418,7 @@
 	if at := x.askAt(); at != "" {
 		h.Set(outcome.HeaderAskAt, at)
 	}
+	x.status = a.Status
 	x.w.WriteHeader(a.Status)
 	if err := dispatch.WriteBody(x.w, a); err != nil {
 		panic(http.ErrAbortHandler) // A body that is cut short must look so.
--- a/pkg/entry/keyed.go
+++ b/pkg/entry/keyed.go
@@ -109,7 +109,7 @@
 		Account: x.keyAccount(), Key: x.key, Attempt: claim.AttemptID(uuid.NewString()),
 		Digest: x.digest(), Base: base,
 	}
-	a, res := x.entry.cfg.Dispatcher.Run(ctx, x.job(once))
+	a, res := x.run(ctx, once)
 	if a != nil {
 		x.write(a)
 		return nil, settled{}
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -7,13 +7,12 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"laburnumpick.org/pkg/dispatch"
 	"laburnumpick.org/pkg/fleetapi"
 	"laburnumpick.org/pkg/home"
 	"laburnumpick.org/pkg/outcome"
 	"laburnumpick.org/pkg/pool"
+	"laburnumpick.org/pkg/record"
 	"laburnumpick.org/pkg/roster"
 	"laburnumpick.org/pkg/site"
 )
@@ -106,7 +105,7 @@
 // note puts a home that did not answer last for a while.
 func (n *Node) note(vm roster.VM, err error) {
 	n.cfg.Scope.Counter("homesLost").Inc(1)
-	klog.InfoS("fleet: home did not answer", "vm", vm.Name, "err", err)
+	record.Notable("fleet: home did not answer", "vm", vm.Name, "err", err)
 	n.gray.add(time.Now(), vm.Name)
 }
 
@@ -188,6 +187,9 @@
 // Grant implements dispatch.Seat.
 func (s *seat) Grant() pool.Granted { return s.grant }
 
+// Home implements dispatch.Seat.
+func (s *seat) Home() string { return string(s.home.Name) }
+
 // Release implements dispatch.Seat.
 func (s *seat) Release(e home.Ended) {
 	if s.home.Name == s.node.cfg.Self.Name {
--- a/pkg/fleet/level.go
+++ b/pkg/fleet/level.go
@@ -15,6 +15,7 @@
 	"laburnumpick.org/pkg/catalog"
 	"laburnumpick.org/pkg/control"
 	"laburnumpick.org/pkg/fleetapi"
+	"laburnumpick.org/pkg/record"
 	"laburnumpick.org/pkg/registry"
 	"laburnumpick.org/pkg/roster"
 )
@@ -65,15 +66,24 @@
 			n.read(ctx)
 			gap = readGap
 		}
-		if n.cfg.Registry.Expire(time.Now()) {
-			klog.InfoS("fleet: servers did not register again and are gone")
-		}
+		n.cfg.Registry.Expire(time.Now())
+		n.tellRegistry()
 		if err := control.Sleep(ctx, max(idleGap/3, gap-time.Since(began))); err != nil {
 			return err
 		}
 	}
 }
 
+// tellRegistry accounts for what has become of the registered servers.
+func (n *Node) tellRegistry() {
+	revision := n.cfg.Registry.State().Revision
+	for _, c := range n.cfg.Registry.TakeChanges() {
+		record.Notable("fleet: registered server", "news", c.News, "service", c.Service, "server", c.Server, "registry", revision)
+	}
+	n.cfg.Scope.Gauge("registryRevision").Update(float64(revision))
+	n.cfg.Scope.Gauge("platformAgeSeconds").Update(n.StoreAway(time.Now()).Seconds())
+}
+
 // rank returns this VM's place among the readers, or false where it has none.
 func (n *Node) rank() (int, bool) {
 	for i := range ranks {
@@ -127,15 +137,15 @@
 		n.levelMu.Unlock()
 		n.cfg.Scope.Counter("readsFailed").Inc(1)
 		if first {
-			klog.InfoS("fleet: platform lost", "err", err)
+			record.Notable("fleet: platform lost", "err", err)
 		}
 		return
 	}
-	back := l.lost
+	back, away := l.lost, l.heard
 	l.failures, l.lost, l.heard = 0, false, asOf
 	n.levelMu.Unlock()
 	if back {
-		klog.InfoS("fleet: platform regained")
+		record.Notable("fleet: platform regained", "away", asOf.Sub(away).Round(time.Millisecond))
 	}
 	if _, ranked := n.rank(); ranked {
 		n.tellAll(ctx, asOf)
@@ -173,7 +183,7 @@
 
 // inForce logs a new version of the configuration.
 func (n *Node) inForce(v catalog.Version, from string) {
-	klog.InfoS("fleet: configuration in force", "version", v, "from", from)
+	record.Notable("fleet: configuration in force", "version", v, "from", from)
 	n.cfg.Scope.Gauge("catalogVersion").Update(float64(v))
 }
 
--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -22,6 +22,7 @@
 	"laburnumpick.org/pkg/fleetapi"
 	"laburnumpick.org/pkg/home"
 	"laburnumpick.org/pkg/journal"
+	"laburnumpick.org/pkg/record"
 	"laburnumpick.org/pkg/registry"
 	"laburnumpick.org/pkg/roster"
 	"laburnumpick.org/pkg/store"
@@ -154,11 +155,13 @@
 	for _, vm := range v.VMs() {
 		if !was[vm.Name] {
 			n.cfg.Journal.Add(now, "vm "+string(vm.Name), "joined the fleet's roles")
+			record.Notable("fleet: VM joined", "vm", vm.Name, "members", len(v.VMs()))
 		}
 		delete(was, vm.Name)
 	}
 	for name := range was {
 		n.cfg.Journal.Add(now, "vm "+string(name), "left the fleet's roles")
+		record.Notable("fleet: VM left", "vm", name, "members", len(v.VMs()))
 	}
 }
 
--- a/pkg/home/grant.go
+++ b/pkg/home/grant.go
@@ -7,6 +7,7 @@
 	"laburnumpick.org/pkg/outcome"
 	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/quarantine"
+	"laburnumpick.org/pkg/record"
 	"laburnumpick.org/pkg/site"
 )
 
@@ -54,6 +55,8 @@
 
 // wait is a request that waits for a slot.
 type wait struct {
+	id       string // Of the request.
+	until    time.Time
 	decision chan pool.Decision
 	asked    time.Time
 }
@@ -98,16 +101,40 @@
 		}, nil
 	}
 	d := p.Admit(now, a.request(now, losses > 0))
+	h.tell(now, p, a, d)
 	t, waits := d.(pool.Waiting)
 	if !waits {
 		return d, nil
 	}
-	w := &wait{make(chan pool.Decision, 1), now}
+	w := &wait{a.RequestID, now.Add(a.Left), make(chan pool.Decision, 1), now}
 	p.waiting[t.Ticket] = w
 	h.wake(now, p) // Tells requests that this one pushed out.
 	return d, w
 }
 
+// tell accounts for a decision, with what decided it.
+func (h *Home) tell(now time.Time, p *held, a *Ask, d pool.Decision) {
+	switch d := d.(type) {
+	case pool.Granted:
+		h.cfg.Scope.Counter("grants").Inc(1)
+		record.Usual(now, record.Granted, "home: granted", "id", a.RequestID, "pool", p.ID(), "server", d.Server.Name,
+			"trial", d.Trial, "sends", a.Sends, "left", a.Left.Round(time.Millisecond), "config", p.version)
+	case pool.Refused:
+		h.tellRefused(p, a.RequestID, a.Left, d)
+	case pool.Waiting:
+	}
+}
+
+// tellRefused accounts for a refusal.
+func (h *Home) tellRefused(p *held, id string, left time.Duration, r pool.Refused) {
+	h.cfg.Scope.Tagged(map[string]string{"kind": string(r.Kind)}).Counter("refusals").Inc(1)
+	s := p.Sums()
+	record.Notable("home: refused", "id", id, "pool", p.ID(), "kind", r.Kind, "detail", r.Detail,
+		"retryAfter", r.RetryAfter.Round(time.Millisecond), "left", left.Round(time.Millisecond),
+		"queued", s.Queued, "inUse", s.InUse, "slots", s.Slots, "servers", s.Servers, "usable", s.Usable,
+		"config", p.version, "registry", h.cfg.Registry.State().Revision)
+}
+
 // crashesToStop is how many servers a request may take down before it is not
 // sent to another one by itself.
 const crashesToStop = 2
@@ -179,6 +206,9 @@
 func (h *Home) wake(now time.Time, p *held) {
 	for _, w := range p.Wake(now) {
 		if x, ok := p.waiting[w.Ticket]; ok {
+			if r, refused := w.Decision.(pool.Refused); refused {
+				h.tellRefused(p, x.id, x.until.Sub(now), r)
+			}
 			x.decision <- w.Decision // The channel has room for the one decision.
 			continue
 		}
--- a/pkg/home/home.go
+++ b/pkg/home/home.go
@@ -21,6 +21,7 @@
 	"laburnumpick.org/pkg/journal"
 	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/quarantine"
+	"laburnumpick.org/pkg/record"
 	"laburnumpick.org/pkg/registry"
 	"laburnumpick.org/pkg/site"
 	"laburnumpick.org/pkg/store"
@@ -58,6 +59,7 @@
 	pools   map[pool.ID]*held
 	records map[site.ServiceName]floor.Record
 	book    *quarantine.Book
+	gauged  time.Time // When the gauges were last brought up to date.
 }
 
 // held is a pool with what its home adds.
@@ -99,6 +101,24 @@
 		h.wake(now, p)
 		h.intend(now, p)
 	}
+	if now.Sub(h.gauged) >= gaugeGap {
+		h.gauged = now
+		h.gauge()
+	}
+}
+
+// gaugeGap is the rest between two updates of the gauges.
+const gaugeGap = time.Second
+
+// gauge tells the metrics how the pools stand.
+func (h *Home) gauge() {
+	for id, p := range h.pools {
+		s := p.Sums()
+		scope := h.cfg.Scope.Tagged(map[string]string{"pool": string(id)})
+		scope.Gauge("queued").Update(float64(s.Queued))
+		scope.Gauge("slotsInUse").Update(float64(s.InUse))
+		scope.Gauge("slots").Update(float64(s.Slots))
+	}
 }
 
 // pool returns a pool, made from the configuration in force if need be.
@@ -209,7 +229,7 @@
 func (h *Home) note(now time.Time, id pool.ID, events []pool.Event) {
 	for _, e := range events {
 		h.cfg.Journal.Add(now, "server "+string(e.Server), string(e.From)+" to "+string(e.To)+": "+e.Reason)
-		klog.InfoS("home: server changes state", "pool", id, "server", e.Server, "from", e.From, "to", e.To, "reason", e.Reason)
+		record.Notable("home: server changes state", "pool", id, "server", e.Server, "from", e.From, "to", e.To, "reason", e.Reason)
 		h.cfg.Scope.Tagged(map[string]string{"to": string(e.To)}).Counter("serverMoves").Inc(1)
 	}
 }
--- a/pkg/pool/intent.go
+++ b/pkg/pool/intent.go
@@ -192,6 +192,30 @@
 	return out
 }
 
+// Sums are the pool's numbers.
+type Sums struct {
+	Queued  int // Requests that wait.
+	InUse   int // Slots in use.
+	Slots   int // Slots of all servers that are not leaving or down.
+	Servers int // Servers.
+	Usable  int // Servers that are trusted and do not rest.
+}
+
+// Sums returns the pool's numbers.
+func (p *Pool) Sums() Sums {
+	s := Sums{Queued: p.queue.len(), Servers: len(p.order)}
+	for _, v := range p.order {
+		s.InUse += v.inUse
+		if v.state != Leaving && v.state != Down && v.state != Held {
+			s.Slots += v.cfg.Slots
+		}
+		if v.trusted() && v.spell == 0 {
+			s.Usable++
+		}
+	}
+	return s
+}
+
 // State returns what the pool thinks of a server, or "" if it has none such.
 func (p *Pool) State(n site.ServerName) State {
 	if v, ok := p.servers[n]; ok {
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -119,6 +119,7 @@
 	mu      sync.Mutex // Guards what follows.
 	records map[site.ServerName]*record
 	gone    map[site.ServerName]removal
+	changes []Change  // Since they were last taken.
 	heard   time.Time // When the list was last heard of.
 	floor   Revision  // Of the oldest removal that is no longer known.
 }
@@ -189,10 +190,23 @@
 		r.missing = time.Time{}
 		return back
 	}
+	b.tell(newsOf(r, e), e)
 	b.records[e.Server.Name] = &record{Entry: e, revision: at, coldTill: now.Add(e.Cold)}
 	return true
 }
 
+// newsOf tells what an entry says that the record did not.
+func newsOf(r *record, e Entry) News {
+	switch {
+	case e.Draining:
+		return Leaving
+	case r == nil || r.Server.StartedMs != e.Server.StartedMs:
+		return Seen
+	default:
+		return Changed
+	}
+}
+
 // remove takes a server out, or notes since when it is missing.
 func (b *Book) remove(now time.Time, n site.ServerName, at Revision, doubtful bool) bool {
 	r, ok := b.records[n]
@@ -202,6 +216,7 @@
 	if doubtful || !r.missing.IsZero() {
 		if r.missing.IsZero() {
 			r.missing = now
+			b.tell(Missing, r.Entry)
 		}
 		return false
 	}
@@ -211,6 +226,7 @@
 
 func (b *Book) drop(now time.Time, n site.ServerName, at Revision) {
 	r := b.records[n]
+	b.tell(Gone, r.Entry)
 	delete(b.records, n)
 	b.gone[n] = removal{at, now, r.Server.StartedMs, r.Seq}
 }
@@ -289,6 +305,44 @@
 	return u
 }
 
+// News is what has become of a server.
+type News string
+
+// Kinds of news.
+const (
+	Seen    News = "seen"    // It registered, or started anew.
+	Changed News = "changed" // It told something new of itself.
+	Leaving News = "leaving" // It ends soon.
+	Missing News = "missing" // The list lacks it after an outage; it may come back.
+	Gone    News = "gone"
+)
+
+// Change is a change of one server, for the account.
+type Change struct {
+	News
+	Service site.ServiceName
+	Server  site.ServerName
+}
+
+// mostChanges bounds the changes that nobody takes.
+const mostChanges = 1024
+
+// tell notes a change. The caller holds the lock.
+func (b *Book) tell(n News, e Entry) {
+	if len(b.changes) < mostChanges {
+		b.changes = append(b.changes, Change{n, e.Service, e.Server.Name})
+	}
+}
+
+// TakeChanges returns the changes since the last call.
+func (b *Book) TakeChanges() []Change {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := b.changes
+	b.changes = nil
+	return out
+}
+
 // Source is where the list is read.
 type Source interface {
 	// Read returns what has changed since a revision, or the whole list where
