--- a/cmd/laburnumpick/command/command.go
+++ b/cmd/laburnumpick/command/command.go
@@ -37,7 +37,7 @@
 
 type cli struct {
 	VM    string `name:"vm" help:"Operators' address of any VM, as host:port." env:"LABURNUMPICK_VM" default:"127.0.0.1:8082"`
-	Token string `help:"Your token." env:"LABURNUMPICK_TOKEN" required:""`
+	Token string `help:"Your token." env:"LABURNUMPICK_TOKEN"`
 
 	Apply   applyCmd   `cmd:"" help:"Create or change objects from a YAML file."`
 	Delete  deleteCmd  `cmd:"" help:"Delete an object."`
@@ -47,6 +47,7 @@
 	Free    freeCmd    `cmd:"" help:"Release a quarantined request."`
 	Outcome outcomeCmd `cmd:"" help:"Tell what became of a once-only key."`
 	Stop    stopCmd    `cmd:"" help:"Stop the VM gracefully."`
+	Explain explainCmd `cmd:"" help:"Tell from logs what became of a request or a server, and why."`
 }
 
 // Main runs the command line and exits.
@@ -55,7 +56,12 @@
 	k := kong.Parse(&c, kong.Name("laburnumpick"), kong.Description("Asks and commands a laburnumpick fleet."))
 	client := fleetapi.NewOperatorClient(c.VM, c.Token, &http.Client{Timeout: callTimeout})
 	k.BindTo(client, (*fleetapi.Operator)(nil))
-	err := k.Run()
+	var err error
+	if c.Token == "" && k.Command() != explainCommand {
+		err = errors.New("no token: give --token or set LABURNUMPICK_TOKEN")
+	} else {
+		err = k.Run()
+	}
 	switch {
 	case err == nil:
 	case errors.Is(err, errRejected):
@@ -123,7 +129,7 @@
 }
 
 type deleteCmd struct {
-	Kind string `arg:"" enum:"service,rule,account" help:"Kind of the object."`
+	Kind string `arg:"" enum:"service,rule,route,account" help:"Kind of the object."`
 	Name string `arg:"" help:"Name of the object."`
 }
 
@@ -171,7 +177,7 @@
 	row(w, "POOL", "SERVER", "STATE", "SINCE", "IN USE", "SLOTS", "SCORE", "REASON")
 	for _, p := range b.GetPools() {
 		for _, s := range p.GetServers() {
-			row(w, p.GetService()+"/"+p.GetDataCentre(), s.GetName(), s.GetState(), clock(s.GetSinceUnixMs()),
+			row(w, p.GetService(), s.GetName(), s.GetState(), clock(s.GetSinceUnixMs()),
 				s.GetInUse(), s.GetSlots(), fmt.Sprintf("%.1f", s.GetScore()), s.GetReason())
 		}
 	}
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -165,7 +165,7 @@
 		p.order = append(p.order, v)
 		if m.Leaving {
 			events = append(events, p.depart(now, v, "it registered as leaving")...)
-		} else if v.departing && ok {
+		} else if v.departing && !v.moved {
 			events = append(events, p.stay(now, v)...)
 		}
 	}
@@ -196,7 +196,7 @@
 	if r.AtOnce {
 		return p.refuse(wait)
 	}
-	if !p.usable(now, r) || wait > r.Deadline.Sub(now)/2 {
+	if !p.usable(now, r) || now.Add(wait).After(p.latest(now, r)) {
 		if v := p.choose(now, r, true); v != nil {
 			return p.grant(now, v, r, false)
 		}
--- a/pkg/pool/pool_test.go
+++ b/pkg/pool/pool_test.go
@@ -569,3 +569,37 @@
 		}
 	}
 }
+
+// TestRestingServersServeBeforeARefusal rests most servers. A request that would
+// have to wait too long for the others goes to one of them.
+func TestRestingServersServeBeforeARefusal(t *testing.T) {
+	p := withPool(4, 1)
+	once := aRequest("a")
+	once.Class = site.AtMostOnce
+	for range 3 {
+		p.Release(start, admit(t, p, start, once), pool.Failed{Rule: reads, Detail: "reset"})
+	}
+	admit(t, p, start, once) // The server that has not failed.
+	once.Deadline = start.Add(150 * time.Millisecond)
+	for range 3 {
+		admit(t, p, start, once)
+	}
+	_, refused := p.Admit(start, once).(pool.Refused)
+	assert.Assert(t, refused)
+}
+
+// TestServerWhoseAddressIsAnothersStaysOut refuses a request as meant for
+// another server. Whatever else is registered meanwhile, the server is out until
+// it registers anew.
+func TestServerWhoseAddressIsAnothersStaysOut(t *testing.T) {
+	p := withPool(1, 1)
+	set := pool.Settings{Sureness: 10, Retry: pool.DefaultRetryLimits}
+	p.Release(start, admit(t, p, start, aRequest("a")), pool.Declined{Why: pool.Moved})
+	m := pool.Member{Server: site.Server{Name: "s-0", Address: "s-0:80", Slots: 1}}
+	p.Configure(start, set, []pool.Member{m})
+	_, granted := p.Admit(start, aRequest("a")).(pool.Granted)
+	assert.Assert(t, !granted)
+	m.StartedMs = 7
+	p.Configure(start, set, []pool.Member{m})
+	admit(t, p, start, aRequest("a"))
+}
--- a/pkg/pool/report.go
+++ b/pkg/pool/report.go
@@ -251,6 +251,7 @@
 			v.nextTrial = now.Add(leavingRecheck)
 		}
 	case Moved:
+		v.moved = true // Until it registers anew.
 		p.depart(now, v, "another server has its address")
 	}
 }
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -53,7 +53,8 @@
 	servedAt    time.Time // When it last gave a good answer.
 	pausedUntil time.Time
 	coldTill    time.Time // Until when it is slow after its start.
-	departing   bool      // It registered as leaving.
+	departing   bool      // It registered as leaving, or another server has its address.
+	moved       bool      // Another server has its address.
 	rest                  // After a failure.
 
 	detector
--- /dev/null
+++ b/pkg/record/read_test.go
@@ -0,0 +1,45 @@
+package record_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"laburnumpick.org/pkg/record"
+)
+
+// TestExplain reads the account of a played day and tells the stories of one
+// request of each kind, and of one server.
+func TestExplain(t *testing.T) {
+	f, err := os.Open("testdata/account.log")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, f.Close()) }()
+	lines, err := record.Read(f)
+	assert.NilError(t, err)
+	var b strings.Builder
+	for _, subject := range []string{
+		"a7dab83ba197dbbf", "815dddafb4ee91d1", "70b0d7cbf03b4c8e", "13932e6038cd9c39", "526aeb41a6cd6258",
+		"i-3cc3300e88", "unknown",
+	} {
+		_, err := record.Explain(lines, subject).WriteTo(&b)
+		assert.NilError(t, err)
+	}
+	golden.Assert(t, b.String(), "stories.golden")
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add("I0927 07:26:54.608666   1 grant.go:132] \"home: refused\" id=\"a\" queued=4")
+	f.Add("   1.6 vm-1 E0101 00:00:00.000000 1 x:1] \"m\" a=\"\\\"\" b=")
+	f.Fuzz(func(t *testing.T, text string) {
+		lines, err := record.Read(strings.NewReader(text))
+		if err != nil {
+			return // A line that is too long.
+		}
+		for _, l := range lines {
+			record.Explain(lines, l.Get("id"))
+		}
+	})
+}
