A fault soak of the real program, and stand-ins of the users' platform

laburnumbench soak runs laburnumpickd as processes before a stand-in of the users' store and of backend servers, over loopback links that delay, reset, cut one way, silence and refuse; processes are terminated, killed, paused, reloaded; the store refuses, is slow, loses answers, acts late, forgets; servers fail, crash and leave; the configuration changes. One seed gives one schedule. It checks from callers and servers that what may run once does, that a refusal means not run, that answers are whole and one's own, that a planned stop cuts nothing, and that all is served once all is well.

--- a/cmd/laburnumbench/bench/main.go
+++ b/cmd/laburnumbench/bench/main.go
@@ -19,6 +19,7 @@
 	Idle       idleCmd       `cmd:"" help:"Measure what control costs without load."`
 	Overhead   overheadCmd   `cmd:"" help:"Compare the way through an entry VM with a bare pass-through."`
 	Demo       demoCmd       `cmd:"" help:"Send a night's load to running sites and check every promise."`
+	Soak       soakCmd       `cmd:"" help:"Run the real program as processes, let things fail from outside, and check the promises."`
 }
 
 // Main runs the command line and exits.
--- /dev/null
+++ b/cmd/laburnumbench/soak/schedule.go
@@ -0,0 +1,68 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Kind is what happens.
+type Kind string
+
+// Kinds of events.
+const (
+	VMTerm      Kind = "vm terminated"
+	VMKill      Kind = "vm killed"
+	VMPause     Kind = "vm paused"
+	VMReload    Kind = "vm reloads"
+	LinkFaults  Kind = "link"
+	StoreFaults Kind = "store"
+	VMStore     Kind = "store link of a vm"
+	ServerFault Kind = "server"
+	ServerCrash Kind = "server crashes"
+	ServerDrain Kind = "server drains"
+	Configure   Kind = "configuration"
+)
+
+// kinds holds each kind as often as it is drawn.
+var kinds = []Kind{
+	VMTerm, VMTerm, VMKill, VMPause, VMReload, LinkFaults, LinkFaults, StoreFaults, StoreFaults, VMStore,
+	ServerFault, ServerFault, ServerFault, ServerCrash, ServerDrain, Configure, Configure,
+}
+
+// Event is something that happens at a time of the soak.
+type Event struct {
+	At     time.Duration
+	For    time.Duration
+	Kind   Kind
+	Target int // Place of a VM, a link or a server.
+	Way    int // Which of the kind's ways.
+}
+
+// String describes the event on one line.
+func (e Event) String() string {
+	return fmt.Sprintf("%5.1f s %s %d way %d for %.1f s", e.At.Seconds(), e.Kind, e.Target, e.Way, e.For.Seconds())
+}
+
+// Schedule returns what happens in a soak. One seed gives one schedule. Events
+// come in series and overlap.
+func Schedule(seed uint64, length time.Duration) []Event {
+	rng := rand.New(rand.NewPCG(seed, 11))
+	var out []Event
+	for at := time.Second; at < length; {
+		e := Event{
+			At: at, For: time.Duration(200+rng.IntN(2500)) * time.Millisecond,
+			Kind: kinds[rng.IntN(len(kinds))], Target: rng.IntN(1000), Way: rng.IntN(1000),
+		}
+		out = append(out, e)
+		if rng.IntN(4) == 0 { // A series of the same, one target after the other.
+			for range 1 + rng.IntN(3) {
+				e.At += time.Duration(rng.IntN(700)) * time.Millisecond
+				e.Target++
+				out = append(out, e)
+			}
+		}
+		at += time.Duration(100+rng.IntN(1100)) * time.Millisecond
+	}
+	return out
+}
