Budget and configuration that hold when grown; doubts that end; refusals before failures

Change: a request is counted once; a home spends 0.8 of the budget and holds 0.6 of the slack for spent when it takes over; a directory is built at once and matched by prefix; a doubted server whose trial is 2 s overdue comes back with one slot. At-most-once requests are refused rather than sent to a server that rests.

--- a/cmd/laburnumbench/soak/vm.go
+++ b/cmd/laburnumbench/soak/vm.go
@@ -28,7 +28,7 @@
 	healthy bool
 	harmed  time.Time // Until when a cut connection is excused.
 	closing bool
-	starts  int
+	ending  bool // Its end is under way.
 }
 
 // addresses is what the program tells of itself.
@@ -79,7 +79,7 @@
 	if err := v.cmd.Start(); err != nil {
 		return errors.Join(err, log.Close())
 	}
-	v.starts++
+	v.ending = false
 	exited, cmd := make(chan struct{}), v.cmd
 	v.exited = exited
 	go func() {
@@ -90,6 +90,37 @@
 	return nil
 }
 
+// terminate tells the program to end, and ends it by force after the grace time.
+// It returns what starts it again, unless it was told to end already.
+func (v *vm) terminate() func() error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_ = v.cmd.Process.Signal(syscall.SIGTERM) // It may have ended.
+	if v.ending {
+		return func() error { return nil }
+	}
+	v.ending = true
+	process := v.cmd.Process
+	late := time.AfterFunc(grace, func() { _ = process.Kill() })
+	return func() error {
+		defer late.Stop()
+		return v.restart()
+	}
+}
+
+// kill ends the program by force. It returns what starts it again, unless its
+// end was under way.
+func (v *vm) kill() func() error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_ = v.cmd.Process.Kill() // It may have ended.
+	if v.ending {
+		return func() error { return nil }
+	}
+	v.ending = true
+	return v.restart
+}
+
 // restart starts the program again once it has ended.
 func (v *vm) restart() error {
 	v.mu.Lock()
--- a/pkg/catalog/change.go
+++ b/pkg/catalog/change.go
@@ -66,17 +66,15 @@
 
 // directory rebuilds the configuration.
 func (s *Snapshot) directory() (*site.Directory, error) {
-	d := site.NewDirectory()
-	for _, raw := range s.Objects {
+	objects := make([]site.Object, len(s.Objects))
+	for i, raw := range s.Objects {
 		o, err := site.DecodeJSON(raw)
 		if err != nil {
 			return nil, err
 		}
-		if d, err = d.Put(o); err != nil {
-			return nil, err
-		}
+		objects[i] = o
 	}
-	return d, nil
+	return site.Build(objects)
 }
 
 // rowKey orders the rows of a site's changes by version.
--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -46,6 +46,7 @@
 	Failure *outcome.Failure // Nil where answered.
 	Server  site.ServerName  // The last one tried.
 	Tries   int
+	Asks    int               // How often a slot was asked for.
 	Failed  []site.ServerName // Servers that the job was sent to in vain.
 	// Fenced means that the key's claim was won and given up, so that "not run"
 	// is true of the key. Base is the revision to go on from.
--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -74,8 +74,9 @@
 	a := &home.Ask{
 		RequestID: j.Request.ID, Service: j.Match.Service, DataCentre: d.cfg.DataCentre, Account: j.Account,
 		Class: j.Match.Run, Rule: j.Match.Rule, Priority: j.Match.Priority, Fingerprint: j.Fingerprint,
-		Exclude: append(slices.Clone(res.Failed), d.shun.at(now)...), Sends: res.Tries, Attempts: j.Match.Attempts, AtOnce: atOnce,
+		Exclude: append(slices.Clone(res.Failed), d.shun.at(now)...), Known: res.Asks > 0, Sends: res.Tries, Attempts: j.Match.Attempts, AtOnce: atOnce,
 	}
+	res.Asks++
 	if deadline, ok := ctx.Deadline(); ok {
 		a.Left = deadline.Sub(now)
 	}
--- a/pkg/home/grant.go
+++ b/pkg/home/grant.go
@@ -35,6 +35,7 @@
 	TargetLeft  time.Duration // Zero where there is no target.
 	Fingerprint quarantine.Fingerprint
 	Exclude     []site.ServerName
+	Known       bool        // A slot has been asked for before.
 	Sends       int         // Servers that the request has been sent to.
 	Attempts    int         // Servers that it may be sent to in all.
 	Ticket      pool.Ticket // Of a wait that goes on.
@@ -45,7 +46,7 @@
 func (a *Ask) request(now time.Time, suspect bool) pool.Request {
 	r := pool.Request{
 		Account: a.Account, Class: a.Class, Rule: a.Rule, DataCentre: a.DataCentre, Priority: a.Priority,
-		Deadline: now.Add(a.Left), Exclude: a.Exclude, Sends: a.Sends, Attempts: a.Attempts, Suspect: suspect, AtOnce: a.AtOnce,
+		Deadline: now.Add(a.Left), Exclude: a.Exclude, Known: a.Known, Sends: a.Sends, Attempts: a.Attempts, Suspect: suspect, AtOnce: a.AtOnce,
 	}
 	if a.TargetLeft != 0 {
 		r.Target = now.Add(a.TargetLeft)
--- a/pkg/pool/budget.go
+++ b/pkg/pool/budget.go
@@ -28,7 +28,19 @@
 	retries  int
 }
 
-func newBudget(l RetryLimits) budget { return budget{limits: l} }
+// Shares of the limits. A home that takes over cannot know what the one before
+// it has spent in the window, so both keep below the whole.
+const (
+	budgetShare = 0.8
+	spentBefore = 0.6 // Of the slack.
+)
+
+// newBudget returns the budget of a home that has just taken over.
+func newBudget(now time.Time, l RetryLimits) budget {
+	b := budget{limits: l}
+	b.part(now).retries = int(spentBefore * float64(l.Slack))
+	return b
+}
 
 // part returns the present part of the window.
 func (b *budget) part(now time.Time) *budgetPart {
@@ -56,5 +68,5 @@
 			retries += p.retries
 		}
 	}
-	return float64(retries+1) <= b.limits.Ratio*float64(requests)+float64(b.limits.Slack)
+	return float64(retries+1) <= budgetShare*(b.limits.Ratio*float64(requests)+float64(b.limits.Slack))
 }
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -28,6 +28,7 @@
 	Deadline   time.Time
 	Target     time.Time         // Until when an answer is in time; zero for no such time.
 	Exclude    []site.ServerName // Servers that have already failed it.
+	Known      bool              // It has been asked for before.
 	Sends      int               // Servers that it has been sent to.
 	Attempts   int               // Servers that it may be sent to in all; 0 for no bound.
 	AtOnce     bool              // It gets a slot that is free or none.
@@ -125,7 +126,7 @@
 		id: id, set: set,
 		servers: make(map[site.ServerName]*server),
 		queue:   newQueue(),
-		budget:  newBudget(set.Retry),
+		budget:  newBudget(now, set.Retry),
 		grants:  make(map[GrantID]*outstanding),
 		meanMs:  float64(firstGuess.Milliseconds()),
 		seq:     GrantID(now.UnixMicro()),
@@ -179,7 +180,7 @@
 	if r.Class == site.Repeatable {
 		p.repeatableAt = now
 	}
-	if r.Sends == 0 {
+	if !r.Known {
 		p.budget.earn(now)
 	}
 	if refused, stop := p.barred(now, r); stop {
@@ -311,9 +312,10 @@
 	by := ranking{
 		now: now, near: r.DataCentre, proves: p.proves(now, r),
 		trouble: p.trouble.is(now) && !r.Suspect,
+		careful: r.Class == site.AtMostOnce && p.usable(now, r),
 	}
 	for _, v := range p.order {
-		if !v.open(now, lastResort, by.trouble) || slices.Contains(r.Exclude, v.cfg.Name) || (r.Suspect && v.suspect) {
+		if !v.open(by, lastResort) || slices.Contains(r.Exclude, v.cfg.Name) || (r.Suspect && v.suspect) {
 			continue
 		}
 		if best == nil || by.before(v, best) {
@@ -337,6 +339,10 @@
 	proves bool // The request may find out whether a server works again.
 	// trouble says that the service fails many requests.
 	trouble bool
+	// careful says that the request may run only once, and that other servers may
+	// run it: a refusal is better for its caller than a failure, of which nobody
+	// knows whether it ran.
+	careful bool
 }
 
 // class puts servers into classes, the best first.
@@ -472,7 +478,7 @@
 func (p *Pool) free(now time.Time) int {
 	n := 0
 	for _, v := range p.order {
-		if v.open(now, true, false) {
+		if v.open(ranking{now: now}, true) {
 			n += v.room(now) - v.inUse
 		}
 	}
@@ -494,6 +500,11 @@
 			}
 		}
 		if now.Add(p.waitBehind(place, slots) - p.waitBehind(0, slots)).After(w.latest) {
+			if v := p.choose(now, w.request, true); v != nil {
+				p.queue.serve(w)
+				out = append(out, Wakeup{w.ticket, p.grant(now, v, w.request, false)})
+				continue
+			}
 			p.queue.remove(w.ticket)
 			out = append(out, Wakeup{w.ticket, p.refuse(p.waitBehind(place, slots))})
 			continue
@@ -518,22 +529,28 @@
 			events = append(events, p.Release(now, o.grant, Dropped{})...)
 		}
 	}
-	if now.Sub(p.repeatableAt) < repeatableMemory {
-		return events
+	patience := trialOverdue
+	if now.Sub(p.repeatableAt) > repeatableMemory {
+		patience = 0
 	}
 	for _, v := range p.order {
-		if (v.state == Doubted || v.state == Ejected) && !now.Before(v.nextTrial) {
+		if (v.state == Doubted || v.state == Ejected) && !v.trying && now.Sub(v.nextTrial) >= patience {
 			events = append(events, p.parole(now, v))
 		}
 	}
 	return events
 }
 
-// repeatableMemory is how long after a repeatable request more are expected.
-const repeatableMemory = time.Minute
+const (
+	// repeatableMemory is how long after a repeatable request more are expected.
+	repeatableMemory = time.Minute
+	// trialOverdue is how long a server waits for a request that may try it.
+	trialOverdue = 2 * time.Second
+)
 
-// parole lets a server back without a trial, since the service gets no request
-// that could be repeated. It has one slot, and fewer failures convict it.
+// parole lets a server back without a trial, since the service gets too few
+// requests that could be repeated. It has one slot, and fewer failures convict
+// it.
 func (p *Pool) parole(now time.Time, v *server) Event {
 	from := v.state
 	v.move(now, Warming, "its time is over, and no request may try it")
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -78,14 +78,15 @@
 // open reports whether the server has a free slot for an ordinary request. As a
 // last resort doubted and resting servers are open too, and in trouble those
 // that got nothing for a while.
-func (v *server) open(now time.Time, lastResort, trouble bool) bool {
-	if trouble && v.starved(now) {
+func (v *server) open(k ranking, lastResort bool) bool {
+	now := k.now
+	if k.trouble && v.starved(now) {
 		return v.inUse < max(1, v.warm)
 	}
 	if !v.trusted() && (!lastResort || v.state != Doubted) {
 		return false
 	}
-	if v.resting(now) && !lastResort {
+	if v.resting(now) && (!lastResort || k.careful) {
 		return false
 	}
 	return v.inUse < v.room(now) && !v.pausedUntil.After(now)
--- a/pkg/site/directory.go
+++ b/pkg/site/directory.go
@@ -17,7 +17,7 @@
 	owners   *shards[ServiceName] // The service of each rule.
 	accounts *shards[*Account]
 
-	routes     *shards[[]*Route] // By host, the longest prefix first.
+	routes     *shards[hostRoutes] // By host.
 	routeNames *shards[*Route]
 }
 
@@ -35,7 +35,7 @@
 		owners:   newShards[ServiceName](),
 		accounts: newShards[*Account](),
 
-		routes:     newShards[[]*Route](),
+		routes:     newShards[hostRoutes](),
 		routeNames: newShards[*Route](),
 	}
 }
--- a/pkg/site/route.go
+++ b/pkg/site/route.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -136,13 +137,26 @@
 	return strings.ToLower(host)
 }
 
-// matchRoute takes the route with the longest prefix of the path.
-func matchRoute(routes []*Route, path string, point float64) (Match, bool) {
-	i := slices.IndexFunc(routes, func(r *Route) bool { return strings.HasPrefix(path, r.PathPrefix) })
-	if i < 0 {
+// hostRoutes are the routes of one host by their prefixes. It is immutable once
+// its directory is.
+type hostRoutes map[string]*Route
+
+// match returns the route with the longest prefix of a path, or nil.
+func (h hostRoutes) match(path string) *Route {
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r, ok := h[path[:end+1]]; ok {
+			return r
+		}
+	}
+	return nil
+}
+
+// matchRoute returns how a path is served by a host's routes.
+func matchRoute(routes hostRoutes, path string, point float64) (Match, bool) {
+	r := routes.match(path)
+	if r == nil {
 		return Match{}, false
 	}
-	r := routes[i]
 	return Match{
 		Rule: RuleName(r.Name), Service: r.Pick(point), Run: r.Run,
 		Timeout:  time.Duration(r.TimeoutMs) * time.Millisecond,
@@ -151,22 +165,25 @@
 	}, true
 }
 
-// putRoute adds or replaces a route. The routes of a host stand in order of
-// the length of their prefixes, the longest first.
+// putRoute adds or replaces a route.
 func (d *Directory) putRoute(r *Route) {
 	if old, ok := d.routeNames.get(string(r.Name)); ok {
 		d.dropRoute(old)
 	}
 	same, _ := d.routes.get(r.Host)
-	next := append(slices.Clone(same), r)
-	slices.SortStableFunc(next, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+	next := maps.Clone(same)
+	if next == nil {
+		next = make(hostRoutes)
+	}
+	next[r.PathPrefix] = r
 	d.routes = d.routes.with(r.Host, next)
 	d.routeNames = d.routeNames.with(string(r.Name), r)
 }
 
 func (d *Directory) dropRoute(r *Route) {
 	same, _ := d.routes.get(r.Host)
-	next := slices.DeleteFunc(slices.Clone(same), func(o *Route) bool { return o.Name == r.Name })
+	next := maps.Clone(same)
+	delete(next, r.PathPrefix)
 	if len(next) == 0 {
 		d.routes = d.routes.without(r.Host)
 	} else {
@@ -175,6 +192,47 @@
 	d.routeNames = d.routeNames.without(string(r.Name))
 }
 
+// Build returns the directory of objects, which stand in an order in which they
+// could be put one by one. It takes time in proportion to their number. The
+// error holds every fault of the first object that has one.
+func Build(objects []Object) (*Directory, error) {
+	d := NewDirectory()
+	for _, o := range objects {
+		r, ok := o.(*Route)
+		if !ok {
+			next, err := d.Put(o)
+			if err != nil {
+				return nil, err
+			}
+			d = next
+			continue
+		}
+		faults := r.Faults()
+		if len(faults) == 0 {
+			faults = d.conflicts(r)
+		}
+		if _, twice := d.routeNames.get(string(r.Name)); twice {
+			faults = append(faults, Fault{r.ID(), "name", "stands twice"})
+		}
+		if len(faults) > 0 {
+			return nil, joinFaults(faults)
+		}
+		d.insertRoute(r)
+	}
+	return d, nil
+}
+
+// insertRoute adds a route to a directory that nobody else has yet.
+func (d *Directory) insertRoute(r *Route) {
+	same, ok := d.routes.get(r.Host)
+	if !ok {
+		same = make(hostRoutes)
+		d.routes.insert(r.Host, same)
+	}
+	same[r.PathPrefix] = r
+	d.routeNames.insert(string(r.Name), r)
+}
+
 // routeConflicts returns what is wrong with a route beside the other objects.
 func (d *Directory) routeConflicts(c *collector, r *Route) {
 	for i, s := range r.Shares {
@@ -183,9 +241,8 @@
 	owner, taken := d.hosts.get(r.Host)
 	c.check(!taken, "host", fmt.Sprintf("%q belongs to service %q", r.Host, owner))
 	same, _ := d.routes.get(r.Host)
-	for _, o := range same {
-		c.check(o.Name == r.Name || o.PathPrefix != r.PathPrefix, "pathPrefix",
-			fmt.Sprintf("is that of route %q", o.Name))
+	if o, taken := same[r.PathPrefix]; taken {
+		c.check(o.Name == r.Name, "pathPrefix", fmt.Sprintf("is that of route %q", o.Name))
 	}
 }
 
--- a/pkg/site/shards.go
+++ b/pkg/site/shards.go
@@ -32,6 +32,18 @@
 	}
 }
 
+// insert adds a value in place. It is only for a map that nobody else has yet.
+func (s *shards[V]) insert(k string, v V) {
+	i := shardOf(k)
+	if s.parts[i] == nil {
+		s.parts[i] = make(map[string]V)
+	}
+	if _, ok := s.parts[i][k]; !ok {
+		s.n++
+	}
+	s.parts[i][k] = v
+}
+
 func (s *shards[V]) with(k string, v V) *shards[V] {
 	n := s.clone(k)
 	part := n.parts[shardOf(k)]
