--- a/pkg/pool/report.go
+++ b/pkg/pool/report.go
@@ -84,7 +84,7 @@
 		v.suspect = false
 	}
 	before := v.state
-	p.count(now, v, r)
+	p.count(now, v, g, r)
 	p.weigh(now, v, r, g.Trial)
 	if v.state == before || p.servers[v.cfg.Name] != v {
 		return nil
@@ -92,12 +92,17 @@
 	return []Event{{v.cfg.Name, before, v.state, v.reason}}
 }
 
-// count notes how a request ended.
-func (p *Pool) count(now time.Time, v *server, r Report) {
+// count notes how a request ended. One that may go to another server has not
+// failed yet.
+func (p *Pool) count(now time.Time, v *server, g Granted, r Report) {
 	switch r.(type) {
-	case Failed, Unreached, Declined:
+	case Failed:
+		v.failedAt = now
+		if !g.More {
+			p.trouble.ended(now, true)
+		}
+	case Unreached, Declined:
 		v.failedAt = now
-		p.trouble.ended(now, true)
 	case Served:
 		p.trouble.ended(now, false)
 	case Dropped:
--- a/pkg/pool/rest.go
+++ b/pkg/pool/rest.go
@@ -9,8 +9,9 @@
 	firstRest = 2 * time.Second
 	maxRest   = 8 * time.Second
 	// provenAfter is how long after its rest a server that got no request counts
-	// as proven.
-	provenAfter = 8 * time.Second
+	// as proven. Until then it is used where others have no slot free, so a long
+	// time costs no capacity.
+	provenAfter = 30 * time.Second
 	// spellsToDoubt is how many rests in a row without a success between them make
 	// a server doubted.
 	spellsToDoubt = 3
--- a/pkg/pool/trouble.go
+++ b/pkg/pool/trouble.go
@@ -6,7 +6,7 @@
 // home cannot tell which servers are sound: what it leaves out may be just the
 // servers that would serve. Then each server gets a request now and then.
 const (
-	troubleShare = 0.07 // Of the requests of the last troubleTime.
+	troubleShare = 0.085 // Of the requests of the last troubleTime.
 	troubleLeast = 8    // Requests from which on a share means something.
 	troubleTime  = 2 * time.Second
 	troubleParts = 4
