--- a/cmd/laburnumbench/soak/checks.go
+++ b/cmd/laburnumbench/soak/checks.go
@@ -37,35 +37,62 @@
 		ran[r.ID]++
 	}
 	var broken []string
-	fail := func(t told, format string, args ...any) {
-		broken = append(broken, fmt.Sprintf("%s via %s at %s: ", t.id, t.vm.name, t.sent.Format("15:04:05.000"))+fmt.Sprintf(format, args...))
+	for _, t := range all {
+		why := t.broken(ran[t.id])
+		if why == "" && timing {
+			why = t.lost(ran[t.id])
+		}
+		if why != "" {
+			broken = append(broken, fmt.Sprintf("%s via %s at %s: %s", t.id, t.vm.name, t.sent.Format("15:04:05.000"), why))
+		}
+	}
+	if why := unserved(all, quiet); why != "" && timing {
+		broken = append(broken, why)
+	}
+	return broken
+}
+
+// broken returns what is wrong with what a caller got for a request that has run
+// so many times, or "".
+func (t *told) broken(runs int) string {
+	switch {
+	case t.once && runs > 1:
+		return fmt.Sprintf("may run once and ran %d times", runs)
+	case t.wrong != "":
+		return t.wrong
+	case t.once && slices.Contains(notRun, t.status) && runs > 0:
+		return fmt.Sprintf("status %d promises that it has not run, and it has", t.status)
+	case t.status == http.StatusOK && runs == 0:
+		return "answered and never run"
+	case t.status != 0 && !slices.Contains(known, t.status):
+		return fmt.Sprintf("status %d for a proper request", t.status)
+	}
+	return ""
+}
+
+// lost returns why a request without an answer should have had one, or "".
+func (t *told) lost(runs int) string {
+	took := t.end.Sub(t.sent)
+	if t.status != 0 || t.vm.excused(t.sent.Add(-contact)) || (runs == 0 && took <= lossSlack) {
+		return ""
 	}
+	return fmt.Sprintf("no whole answer after %v, run %d times: %v", took.Round(time.Millisecond), runs, t.err)
+}
+
+// unserved returns what is wrong once all is well again, or "".
+func unserved(all []told, quiet time.Time) string {
 	good, late := 0, 0
 	for _, t := range all {
-		n := ran[t.id]
-		switch {
-		case t.once && n > 1:
-			fail(t, "may run once and ran %d times", n)
-		case t.wrong != "":
-			fail(t, "%s", t.wrong)
-		case t.once && slices.Contains(notRun, t.status) && n > 0:
-			fail(t, "status %d promises that it has not run, and it has", t.status)
-		case t.status == http.StatusOK && n == 0:
-			fail(t, "answered and never run")
-		case t.status != 0 && !slices.Contains(known, t.status):
-			fail(t, "status %d for a proper request", t.status)
-		case timing && t.status == 0 && !t.vm.excused(t.sent.Add(-contact)) && (n > 0 || t.end.Sub(t.sent) > lossSlack):
-			fail(t, "no whole answer after %v, run %d times: %v", t.end.Sub(t.sent).Round(time.Millisecond), n, t.err)
+		if !t.sent.After(quiet) {
+			continue
 		}
-		if t.sent.After(quiet) {
-			late++
-			if t.status == http.StatusOK {
-				good++
-			}
+		late++
+		if t.status == http.StatusOK {
+			good++
 		}
 	}
-	if timing && (late == 0 || float64(good) < recovered*float64(late)) {
-		broken = append(broken, fmt.Sprintf("only %d of %d requests were served once all was well again", good, late))
+	if late > 0 && float64(good) >= recovered*float64(late) {
+		return ""
 	}
-	return broken
+	return fmt.Sprintf("only %d of %d requests were served once all was well again", good, late)
 }
--- a/cmd/laburnumbench/soak/link.go
+++ b/cmd/laburnumbench/soak/link.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -137,7 +138,7 @@
 			}
 		}
 		if err != nil && (!lost || !back) {
-			if t, ok := to.(*net.TCPConn); ok && err == io.EOF {
+			if t, ok := to.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
 				_ = t.CloseWrite() // The other way may still carry bytes.
 			} else {
 				p.reset()
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -112,15 +112,15 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
 }
 
-// answer reads one answer with its whole body.
-func (f *fixture) answer(r *bufio.Reader) (*http.Response, string) {
+// answer reads one answer with its whole body, and whether it is the last.
+func (f *fixture) answer(r *bufio.Reader) (body string, last bool) {
 	f.t.Helper()
 	resp, err := http.ReadResponse(r, nil)
 	assert.NilError(f.t, err)
-	body, err := io.ReadAll(resp.Body)
+	raw, err := io.ReadAll(resp.Body)
 	assert.NilError(f.t, err)
 	assert.NilError(f.t, resp.Body.Close())
-	return resp, string(body)
+	return string(raw), resp.Close
 }
 
 func TestAnswersComeInTheOrderOfTheRequests(t *testing.T) {
@@ -129,7 +129,7 @@
 		began := time.Now()
 		f.send(c, get("/300ms/a")+get("/100ms/b")+get("/200ms/c"))
 		for _, want := range []string{"/300ms/a ", "/100ms/b ", "/200ms/c "} {
-			_, body := f.answer(r)
+			body, _ := f.answer(r)
 			assert.Equal(t, body, want)
 		}
 		assert.Assert(t, time.Since(began) < 350*time.Millisecond, "they run beside each other: %v", time.Since(began))
@@ -145,7 +145,7 @@
 		time.Sleep(200 * time.Millisecond)
 		assert.DeepEqual(t, f.h.list(&f.h.began), []string{"/300ms/a"})
 		f.answer(r)
-		_, body := f.answer(r)
+		body, _ := f.answer(r)
 		assert.Equal(t, body, "/0ms/vote yes")
 	})
 }
@@ -177,11 +177,11 @@
 		f.send(c, get("/200ms/a")+get("/300ms/b"))
 		time.Sleep(100 * time.Millisecond)
 		f.s.LastAnswers()
-		resp, _ := f.answer(r)
-		assert.Assert(t, !resp.Close, "another one is under way")
-		resp, body := f.answer(r)
+		_, last := f.answer(r)
+		assert.Assert(t, !last, "another one is under way")
+		body, last := f.answer(r)
 		assert.Equal(t, body, "/300ms/b ")
-		assert.Assert(t, resp.Close)
+		assert.Assert(t, last)
 		_, _ = io.WriteString(c, get("/0ms/late")) // The connection may have been closed by then.
 		_, err := r.ReadByte()
 		assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
@@ -201,9 +201,9 @@
 		go func() { done <- f.s.Shutdown(context.Background()) }()
 		_, err := ir.ReadByte()
 		assert.Assert(t, errors.Is(err, io.EOF), "a resting connection ends at once: %v", err)
-		resp, body := f.answer(r)
+		body, last := f.answer(r)
 		assert.Equal(t, body, "/2s/sign x")
-		assert.Assert(t, resp.Close)
+		assert.Assert(t, last)
 		assert.NilError(t, <-done)
 	})
 }
@@ -241,9 +241,9 @@
 	withServer(t, func(f *fixture) {
 		c, r := f.dial()
 		f.send(c, "POST /0ms/a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"+get("/0ms/b"))
-		_, body := f.answer(r)
+		body, _ := f.answer(r)
 		assert.Equal(t, body, "/0ms/a abcde")
-		_, body = f.answer(r)
+		body, _ = f.answer(r)
 		assert.Equal(t, body, "/0ms/b ")
 	})
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -234,7 +234,7 @@
 func (d *Daemon) assemble(nw Network, p Platform, ls *listeners) {
 	set, now := d.set, time.Now()
 	self := roster.VM{
-		Name: roster.VMName(set.VM.Name), Address: d.addr.VMs, DataCentre: site.DataCentre(set.VM.DataCentre),
+		Name: roster.VMName(set.VM.Name), Address: d.addr.VMs, DataCentre: site.DataCentre(set.VM.DataCentre), Cores: set.VM.Cores,
 	}
 	jr := journal.New(set.VM.Name, journalSize)
 	var lg *catalog.Log
--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -78,6 +78,8 @@
 	clients map[string]fleetapi.Fleet
 	gray    *grayList
 
+	stale map[string]time.Time // Since when a listed VM is not known; of the reader of the list.
+
 	levelMu sync.Mutex // Guards what follows.
 	level   level
 	telling map[roster.VMName]bool // VMs to which a message is on its way.
@@ -95,6 +97,7 @@
 		clients: make(map[string]fleetapi.Fleet),
 		gray:    newGrayList(),
 		telling: make(map[roster.VMName]bool),
+		stale:   make(map[string]time.Time),
 	}
 	n.view.Store(n.roster.View())
 	n.loop = control.NewLoop(rosterTick, n.tick)
--- a/pkg/fleet/sync.go
+++ b/pkg/fleet/sync.go
@@ -10,6 +10,7 @@
 	"laburnumpick.org/pkg/catalog"
 	"laburnumpick.org/pkg/control"
 	"laburnumpick.org/pkg/fleetapi"
+	"laburnumpick.org/pkg/record"
 	"laburnumpick.org/pkg/roster"
 	"laburnumpick.org/pkg/site"
 	"laburnumpick.org/pkg/store"
@@ -116,7 +117,7 @@
 	}
 	err := r.Register(ctx, store.VM{
 		Name: string(n.cfg.Self.Name), Address: n.cfg.Self.Address, DataCentre: string(n.cfg.Self.DataCentre),
-		Role: store.RoleEntry, State: store.VMLive,
+		Role: store.RoleEntry, State: store.VMLive, Cores: n.cfg.Self.Cores,
 	})
 	if err != nil {
 		klog.V(1).InfoS("fleet: this VM is not on the platform's list yet", "err", err)
@@ -143,14 +144,54 @@
 			}})
 		}
 	}
+	var known []roster.Update
 	n.loop.Do(ctx, func(now time.Time) {
 		n.roster.Seed(now, entries)
 		n.publish(now)
+		known = n.roster.All()
 	})
+	n.clean(ctx, now, vms, known)
+}
+
+// staleAfter is how long nobody may have heard of a VM before its entry is taken
+// off the list.
+const staleAfter = 10 * time.Minute
+
+// clean takes the entries of VMs that are gone for good off the list, where it
+// takes entries from VMs.
+func (n *Node) clean(ctx context.Context, now time.Time, vms []store.VM, known []roster.Update) {
+	r, ok := n.cfg.Store.(store.Registrar)
+	if !ok {
+		return
+	}
+	alive := make(map[string]bool, len(known))
+	for _, u := range known {
+		alive[string(u.Name)] = u.Status != roster.Dead
+	}
+	for _, vm := range vms {
+		if alive[vm.Name] {
+			delete(n.stale, vm.Name)
+			continue
+		}
+		since, seen := n.stale[vm.Name]
+		if !seen {
+			n.stale[vm.Name] = now
+			continue
+		}
+		if now.Sub(since) < staleAfter {
+			continue
+		}
+		if err := r.Remove(ctx, vm); err != nil {
+			klog.V(1).InfoS("fleet: entry of a VM that is gone not removed", "vm", vm.Name, "err", err)
+			continue
+		}
+		delete(n.stale, vm.Name)
+		record.Notable("fleet: entry of a VM that is gone removed", "vm", vm.Name, "since", since)
+	}
 }
 
 func vmOf(vm store.VM) roster.VM {
 	return roster.VM{
-		Name: roster.VMName(vm.Name), Address: vm.Address, DataCentre: site.DataCentre(vm.DataCentre),
+		Name: roster.VMName(vm.Name), Address: vm.Address, DataCentre: site.DataCentre(vm.DataCentre), Cores: vm.Cores,
 	}
 }
--- a/pkg/fleetapi/conversions.go
+++ b/pkg/fleetapi/conversions.go
@@ -15,11 +15,14 @@
 	"laburnumpick.org/pkg/site"
 )
 
+// milli is how many thousandths of a core are a core.
+const milli = 1000
+
 // FromUpdate converts a fact about a member.
 func FromUpdate(u roster.Update) *Member {
 	return &Member{
 		Name: string(u.Name), Address: u.Address, DataCentre: string(u.DataCentre),
-		Incarnation: uint64(u.Incarnation), Status: string(u.Status),
+		Incarnation: uint64(u.Incarnation), Status: string(u.Status), Millicores: int32(u.Cores * milli),
 	}
 }
 
@@ -28,7 +31,7 @@
 	return roster.Update{
 		VM: roster.VM{
 			Name: roster.VMName(m.GetName()), Address: m.GetAddress(),
-			DataCentre: site.DataCentre(m.GetDataCentre()),
+			DataCentre: site.DataCentre(m.GetDataCentre()), Cores: float64(m.GetMillicores()) / milli,
 		},
 		Incarnation: roster.Incarnation(m.GetIncarnation()),
 		Status:      roster.Status(m.GetStatus()),
--- a/pkg/record/read.go
+++ b/pkg/record/read.go
@@ -136,12 +136,12 @@
 // how it ended, and the last line of a home or a server why.
 func causeOf(own []Line) string {
 	end := lastOf(own, "entry: ")
-	switch {
-	case end.Message == "":
+	switch end.Message {
+	case "":
 		return "the entry's line is missing: the VM was lost, or the request had not ended"
-	case end.Message == "entry: answered":
+	case "entry: answered":
 		return fmt.Sprintf("answered by server %s with status %s after %s", end.Get("server"), end.Get("status"), end.Get("took"))
-	case end.Message == "entry: server answered with a failure":
+	case "entry: server answered with a failure":
 		return fmt.Sprintf("server %s itself answered with status %s; %s servers were tried", end.Get("server"), end.Get("status"), end.Get("tries"))
 	}
 	try, refusal := lastOf(own, "dispatch: try failed"), lastOf(own, "home: refused")
--- a/pkg/record/read_test.go
+++ b/pkg/record/read_test.go
@@ -33,7 +33,7 @@
 func FuzzRead(f *testing.F) {
 	f.Add("I0927 07:26:54.608666   1 grant.go:132] \"home: refused\" id=\"a\" queued=4")
 	f.Add("   1.6 vm-1 E0101 00:00:00.000000 1 x:1] \"m\" a=\"\\\"\" b=")
-	f.Fuzz(func(t *testing.T, text string) {
+	f.Fuzz(func(_ *testing.T, text string) {
 		lines, err := record.Read(strings.NewReader(text))
 		if err != nil {
 			return // A line that is too long.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -24,6 +24,7 @@
 	Name       VMName
 	Address    string // host:port for other VMs.
 	DataCentre site.DataCentre
+	Cores      float64 // Processor that the VM has, by which it gets roles; 0 for one core.
 }
 
 // Status is what is known of a member.
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -210,3 +210,25 @@
 	// between 8 and 36 (three standard deviations of 4.5).
 	assert.Assert(t, moved >= 8 && moved <= 36, "%d", moved)
 }
+
+// TestRolesFollowCores gives VMs of one and of four shares of a core roles.
+func TestRolesFollowCores(t *testing.T) {
+	var vms []roster.VM
+	for i := range 20 {
+		vm := roster.VM{Name: roster.VMName(fmt.Sprintf("vm-%02d", i)), Cores: 0.2}
+		if i%2 == 0 {
+			vm.Cores = 0.8
+		}
+		vms = append(vms, vm)
+	}
+	v := roster.NewView(vms)
+	large := 0
+	const pools = 2000
+	for i := range pools {
+		if v.Homes(fmt.Sprintf("service-%d", i))[0].Cores == 0.8 {
+			large++
+		}
+	}
+	// 8 of 10 cores are in the large VMs; three standard deviations are 54.
+	assert.Assert(t, large > pools*8/10-54 && large < pools*8/10+54, "%d of %d", large, pools)
+}
--- a/pkg/roster/view.go
+++ b/pkg/roster/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 
@@ -42,8 +43,9 @@
 	return false
 }
 
-// rank orders VMs by rendezvous hashing: each role gives each VM a weight, and
-// the heaviest VMs come first. When a VM goes, only its roles move.
+// rank orders VMs by weighted rendezvous hashing: each role gives each VM a score
+// that grows with its processor, and the highest come first. So a VM gets roles
+// in proportion to its processor, and when one goes, only its roles move.
 func (v *View) rank(role string) []VM {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -55,17 +57,29 @@
 	return vms
 }
 
-type weighted struct {
-	vm     VM
-	weight uint64
+type scored struct {
+	vm    VM
+	score float64
+}
+
+// scoreOf is the score of a role for a VM: cores over an exponential draw, whose
+// largest falls to each VM as often as its share of all cores.
+func scoreOf(role string, vm *VM) float64 {
+	cores := vm.Cores
+	if cores <= 0 {
+		cores = 1
+	}
+	h := xxhash.Sum64String(role + "\x00" + string(vm.Name))
+	point := (float64(h>>11) + 0.5) / (1 << 53) // Between 0 and 1, neither included.
+	return cores / -math.Log(point)
 }
 
 func rendezvous(role string, vms []VM) []VM {
-	top := make([]weighted, 0, ranked+1)
+	top := make([]scored, 0, ranked+1)
 	for i := range vms {
-		w := weighted{vms[i], xxhash.Sum64String(role + "\x00" + string(vms[i].Name))}
-		at, _ := slices.BinarySearchFunc(top, w, func(a, b weighted) int {
-			return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.vm.Name, b.vm.Name))
+		w := scored{vms[i], scoreOf(role, &vms[i])}
+		at, _ := slices.BinarySearchFunc(top, w, func(a, b scored) int {
+			return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.vm.Name, b.vm.Name))
 		})
 		if at >= ranked {
 			continue
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -37,6 +37,9 @@
 	Name       string `yaml:"name"`
 	Site       string `yaml:"site"`
 	DataCentre string `yaml:"dataCentre"`
+	// Cores is the processor that the VM has, a share or a number of cores. VMs
+	// get roles in proportion to it.
+	Cores float64 `yaml:"cores"`
 }
 
 // Listen holds the addresses that the daemon serves. Port 0 takes a free one.
@@ -166,6 +169,7 @@
 // Default returns the documented defaults.
 func Default() Settings {
 	return Settings{
+		VM:       VM{Cores: 1},
 		Listen:   Listen{Callers: "127.0.0.1:8080", VMs: "127.0.0.1:8081", Operators: "127.0.0.1:8082"},
 		Platform: Platform{URL: Embedded, Kind: KindOwn, FloorShare: 0.7, Sureness: 7},
 		Retry:    Retry{Ratio: 0.1, Slack: 10, Window: 10 * time.Second},
@@ -326,6 +330,7 @@
 	c.name("vm.name", s.VM.Name)
 	c.name("vm.site", s.VM.Site)
 	c.name("vm.dataCentre", s.VM.DataCentre)
+	between(c, "vm.cores", s.VM.Cores, 0.001, 1000)
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.vms", s.Listen.VMs)
 	c.address("listen.operators", s.Listen.Operators)
--- a/pkg/store/platform.go
+++ b/pkg/store/platform.go
@@ -74,6 +74,7 @@
 	DataCentre string  `json:"dataCentre"`
 	Role       string  `json:"role"` // "entry" or "backend".
 	State      VMState `json:"state"`
+	Cores      float64 `json:"cores,omitempty"` // Of an entry VM.
 }
 
 // Roles of the VMs in the platform's list.
@@ -93,6 +94,9 @@
 	// Register puts a VM on the list, or replaces its entry. Errors: Unavailable,
 	// Unknown.
 	Register(ctx context.Context, vm VM) error
+	// Remove takes a VM's entry off the list if it still is the one given. Errors:
+	// Conflict, Unavailable, Unknown.
+	Remove(ctx context.Context, vm VM) error
 }
 
 // Store is all that the platform keeps for the fleet.
