A home that takes over holds the slack for spent

Ruled out: arrivals that no home counted (0.8 of the bound held for each). TestHomesThatFollowEachOtherKeepTheBudget has five homes in one window and failed first.

--- a/_scripts/prove.sh
+++ b/_scripts/prove.sh
@@ -56,7 +56,7 @@
 mutant "no rest after a failure" pool/rest.go 's/r\.spell\+\+/r.till = now/' pool 'TestSpellOfFailures'
 mutant "doubts below the floor" pool/report.go 's/return p\.set\.Floor == nil \|\| trusted-1.*/return true/' pool 'TestFloorBoundsDoubts'
 mutant "servers starved in trouble" pool/trouble.go 's/return ended >= troubleLeast.*/return false/' pool 'TestTroubleStarvesNobody'
-mutant "budget spent twice by two homes" pool/budget.go 's/spentBefore = 0\.6 /spentBefore = 0.0 /; s/budgetShare = 0\.8/budgetShare = 1.0/' pool 'TestHomesThatFollow'
+mutant "budget spent twice by two homes" pool/budget.go 's/firstSpends = 2/firstSpends = 99/' pool 'TestHomesThatFollow'
 mutant "old words of a server taken" registry/registry.go 's/ok \&\& e\.older\(r\.Server\.StartedMs, r\.Seq\)/false/' registry 'TestOldWords'
 mutant "lapsed servers dropped at once" registry/registry.go 's/doubtful := .*/doubtful := false/' registry 'TestServersThatLapsed'
 exit $bad
--- a/pkg/pool/budget.go
+++ b/pkg/pool/budget.go
@@ -28,17 +28,18 @@
 	retries  int
 }
 
-// Shares of the limits. A home that takes over cannot know what the one before
-// it has spent in the window, so both keep below the whole.
+// Bounds of a home's part of the limits. A home that takes over cannot know what
+// those before it have spent in the window. It holds the slack for spent, but for
+// a few retries, and goes by its own requests; and all homes keep below the whole.
 const (
 	budgetShare = 0.8
-	spentBefore = 0.6 // Of the slack.
+	firstSpends = 2
 )
 
 // newBudget returns the budget of a home that has just taken over.
 func newBudget(now time.Time, l RetryLimits) budget {
 	b := budget{limits: l}
-	b.part(now).retries = int(spentBefore * float64(l.Slack))
+	b.part(now).retries = max(0, int(budgetShare*float64(l.Slack))-firstSpends)
 	return b
 }
 
--- a/pkg/pool/budget_test.go
+++ b/pkg/pool/budget_test.go
@@ -52,15 +52,16 @@
 }
 
 // TestHomesThatFollowEachOtherKeepTheBudget lets a home spend all that it may,
-// and another one take over at once and do the same.
+// and four others take over one after the other and do the same, as when VMs are
+// killed again and again.
 func TestHomesThatFollowEachOtherKeepTheBudget(t *testing.T) {
 	limits := RetryLimits{Ratio: 0.2, Slack: 62, Window: 10 * time.Second}
-	const requests = 265 // In the window, as minutevault had on the day that found it.
+	const requests, homes = 272, 5 // Of minutevault in the window, on the day that found it.
 	spent := 0
 	now := budgetStart
 	b := newBudget(now.Add(-time.Minute), limits)
 	for i := range requests {
-		if i == requests/2 {
+		if i > 0 && i%(requests/homes) == 0 {
 			b = newBudget(now, limits)
 		}
 		now = now.Add(30 * time.Millisecond)
--- a/pkg/pool/pool_test.go
+++ b/pkg/pool/pool_test.go
@@ -533,8 +533,7 @@
 			p.Release(start, g, pool.Dropped{})
 		}
 	}
-	// Of a slack of 10 a home may spend 8, and one that has just taken over holds
-	// 6 of them for spent.
+	// A home that has just taken over holds the slack for spent, but for two.
 	assert.Equal(t, granted, 2)
 }
 
