--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 
 	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/claim"
+	"laburnumpick.org/pkg/control"
 	"laburnumpick.org/pkg/home"
 	"laburnumpick.org/pkg/journal"
 	"laburnumpick.org/pkg/pool"
@@ -53,7 +54,7 @@
 	cfg    Config
 	ledger *claim.Ledger
 	runs   *runs
-	shun   *shunList
+	shun   *control.Recent[site.ServerName] // Servers without success here.
 
 	mu    sync.Mutex // Guards links.
 	links map[string]*backend.Link
@@ -63,7 +64,7 @@
 func New(cfg Config) *Dispatcher {
 	l := claim.NewLedger(cfg.Store, cfg.Holder)
 	return &Dispatcher{
-		cfg: cfg, ledger: l, runs: newRuns(l, cfg.Journal), shun: newShunList(),
+		cfg: cfg, ledger: l, runs: newRuns(l, cfg.Journal), shun: control.NewRecent[site.ServerName](shunTime),
 		links: make(map[string]*backend.Link),
 	}
 }
@@ -110,32 +111,3 @@
 // shunTime is how long this VM leaves a server out that it could not reach or
 // that gave it no answer. The link may be cut for this VM alone.
 const shunTime = 3 * time.Second
-
-// shunList remembers the servers that this VM had no success with lately.
-type shunList struct {
-	mu    sync.Mutex
-	until map[site.ServerName]time.Time
-}
-
-func newShunList() *shunList { return &shunList{until: make(map[site.ServerName]time.Time)} }
-
-func (l *shunList) add(now time.Time, n site.ServerName) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.until[n] = now.Add(shunTime)
-}
-
-// now returns the servers to leave out.
-func (l *shunList) at(now time.Time) []site.ServerName {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var out []site.ServerName
-	for n, until := range l.until {
-		if !now.Before(until) {
-			delete(l.until, n)
-			continue
-		}
-		out = append(out, n)
-	}
-	return out
-}
--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -74,7 +74,7 @@
 	a := &home.Ask{
 		RequestID: j.Request.ID, Service: j.Match.Service, DataCentre: d.cfg.DataCentre, Account: j.Account,
 		Class: j.Match.Run, Rule: j.Match.Rule, Priority: j.Match.Priority, Fingerprint: j.Fingerprint,
-		Exclude: append(slices.Clone(res.Failed), d.shun.at(now)...), Known: res.Asks > 0, Sends: res.Tries, Attempts: j.Match.Attempts, AtOnce: atOnce,
+		Exclude: append(slices.Clone(res.Failed), d.shun.All(now)...), Known: res.Asks > 0, Sends: res.Tries, Attempts: j.Match.Attempts, AtOnce: atOnce,
 	}
 	res.Asks++
 	if deadline, ok := ctx.Deadline(); ok {
@@ -236,7 +236,7 @@
 	}
 	silent := t.beaten.Load() && took >= t.grant.Patience
 	if silent || (t.err.Stage == backend.NotSent && ctx.Err() == nil) {
-		d.shun.add(time.Now(), t.grant.Server.Name)
+		d.shun.Add(time.Now(), t.grant.Server.Name)
 		d.link(t.grant.Server.Address).Flush() // The kept connections may be at fault.
 	}
 	switch {
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"sync"
 	"time"
 
 	"laburnumpick.org/pkg/dispatch"
@@ -29,31 +28,6 @@
 	standIns    = 3               // VMs that are tried as a pool's home.
 )
 
-// grayList remembers VMs that did not answer as homes lately.
-type grayList struct {
-	mu    sync.Mutex
-	until map[roster.VMName]time.Time
-}
-
-func newGrayList() *grayList { return &grayList{until: make(map[roster.VMName]time.Time)} }
-
-func (g *grayList) add(now time.Time, n roster.VMName) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.until[n] = now.Add(grayPenalty)
-}
-
-func (g *grayList) has(now time.Time, n roster.VMName) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	until, ok := g.until[n]
-	if ok && !now.Before(until) {
-		delete(g.until, n)
-		return false
-	}
-	return ok
-}
-
 // homes returns the VMs to ask as a pool's home, the first choice first. One
 // that failed lately is left out, and this VM comes last: it can always decide
 // for itself.
@@ -64,7 +38,7 @@
 	ranked := n.View().Homes(string(svc))
 	vms := make([]roster.VM, 0, standIns+1)
 	for _, vm := range ranked {
-		if len(vms) < standIns && !n.gray.has(now, vm.Name) {
+		if len(vms) < standIns && !n.gray.Has(now, vm.Name) {
 			vms = append(vms, vm)
 		}
 	}
@@ -109,7 +83,7 @@
 func (n *Node) note(vm roster.VM, err error) {
 	n.cfg.Scope.Counter("homesLost").Inc(1)
 	record.Notable("fleet: home did not answer", "vm", vm.Name, "err", err)
-	n.gray.add(time.Now(), vm.Name)
+	n.gray.Add(time.Now(), vm.Name)
 }
 
 // acquireFrom asks one VM and follows a wait to its end.
--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -76,7 +76,7 @@
 
 	mu      sync.Mutex // Guards clients.
 	clients map[string]fleetapi.Fleet
-	gray    *grayList
+	gray    *control.Recent[roster.VMName] // VMs that did not answer as homes lately.
 
 	stale map[string]time.Time // Since when a listed VM is not known; of the reader of the list.
 
@@ -95,7 +95,7 @@
 		rumors:  newRumors(),
 		greet:   true,
 		clients: make(map[string]fleetapi.Fleet),
-		gray:    newGrayList(),
+		gray:    control.NewRecent[roster.VMName](grayPenalty),
 		telling: make(map[roster.VMName]bool),
 		stale:   make(map[string]time.Time),
 	}
