Other VMs hear that a server is back after an outage

The reader kept the servers that registered again, but told the others only of entries that had changed, and these had not: everywhere else they went as gone after 2.2 s, the homes included. TestOtherBooksHearWhoIsBack failed first.

--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -186,9 +186,12 @@
 	delete(b.gone, e.Server.Name)
 	if ok && r.same(e) {
 		r.Seq = e.Seq
-		back := !r.missing.IsZero()
+		if r.missing.IsZero() {
+			return false
+		}
 		r.missing = time.Time{}
-		return back
+		r.revision = at // Other books must hear that it is back.
+		return true
 	}
 	b.tell(newsOf(r, e), e)
 	b.records[e.Server.Name] = &record{Entry: e, revision: at, coldTill: now.Add(e.Cold)}
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -129,3 +129,21 @@
 	l, _ := other.State().Server("a")
 	assert.Equal(t, l.ColdTill, at(3*time.Second))
 }
+
+// TestOtherBooksHearWhoIsBack lets all servers lapse in an outage and one book
+// tell another of it, then of the server that registered again.
+func TestOtherBooksHearWhoIsBack(t *testing.T) {
+	from, to := registry.NewBook(), registry.NewBook()
+	for _, b := range []*registry.Book{from, to} {
+		b.Apply(start, whole(1, anEntry("a", 1), anEntry("b", 1)))
+	}
+	tell := func(now time.Time) { assert.Assert(t, to.Apply(now, from.Since(now, to.State().Revision))) }
+	from.Apply(at(10*time.Second), whole(5))
+	tell(at(10 * time.Second))
+	from.Apply(at(11*time.Second), registry.Update{Since: 5, Revision: 6, Entries: []registry.Entry{anEntry("a", 9)}})
+	tell(at(11 * time.Second))
+	from.Expire(at(13 * time.Second))
+	to.Expire(at(13 * time.Second))
+	assert.DeepEqual(t, names(from), []string{"a"})
+	assert.DeepEqual(t, names(to), []string{"a"})
+}
