The platform's wire names leave the soak

Cause: the soak spelled headers of the wire and wrote the configuration's JSON itself, so three lines outside platform/ held names that only platform/ may know. Some of them stood twice, in the soak and in the stand-in server.

The stand-in now exports the headers that callers use and Config, which writes the configuration; the soak calls both. The text of the configuration is the same.

The soak's behaviour is unchanged.

--- a/cmd/laburnumbench/soak/callers.go
+++ b/cmd/laburnumbench/soak/callers.go
@@ -14,11 +14,8 @@
 	"laburnumpick.org/platform/standin"
 )
 
-// Headers of the wire that callers speak.
+// How a caller behaves.
 const (
-	headerID     = "Laburnumpick-Request-Id"
-	headerLeft   = "Laburnumpick-Deadline-Ms"
-	headerSeal   = "Laburnumpick-Server-Seal"
 	callerLeft   = 3 * time.Second
 	callerWaits  = 6 * time.Second // For a VM that says nothing.
 	callerRests  = 60 * time.Millisecond
@@ -130,7 +127,7 @@
 	defer func() { t.end = time.Now() }()
 	_ = nc.SetDeadline(t.sent.Add(callerWaits)) // A dead connection shows in the write.
 	_, t.err = fmt.Fprintf(nc, "%s %s%s HTTP/1.1\r\nHost: soak.example\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
-		method, path, t.id, headerID, t.id, headerLeft, callerLeft.Milliseconds(), len(body), body)
+		method, path, t.id, standin.HeaderID, t.id, standin.HeaderLeft, callerLeft.Milliseconds(), len(body), body)
 	if t.err != nil {
 		return false
 	}
@@ -153,9 +150,9 @@
 // check notes what is wrong with a whole answer.
 func (t *told) check(resp *http.Response, body []byte) {
 	switch {
-	case resp.Header.Get(headerID) != "" && resp.Header.Get(headerID) != t.id:
-		t.wrong = "an answer to another request: " + resp.Header.Get(headerID)
-	case t.status/100 == 2 && resp.Header.Get(headerSeal) == "":
+	case resp.Header.Get(standin.HeaderID) != "" && resp.Header.Get(standin.HeaderID) != t.id:
+		t.wrong = "an answer to another request: " + resp.Header.Get(standin.HeaderID)
+	case t.status/100 == 2 && resp.Header.Get(standin.HeaderSeal) == "":
 		t.wrong = "a success without a server's seal"
 	case t.status/100 == 2 && !bytes.Equal(body, standin.Body(t.id)):
 		t.wrong = fmt.Sprintf("a success with another body of %d bytes", len(body))
--- a/cmd/laburnumbench/soak/soak.go
+++ b/cmd/laburnumbench/soak/soak.go
@@ -140,16 +140,11 @@
 	return nil
 }
 
-const routes = `{"version":"r%d","routes":{
-"reads":{"host":"soak.example","prefix":"/read/","route_type":"idempotent","timeout":"%dms","target_latency":"1s","priority":2,"service":"reads","max_attempts":2},
-"both":{"host":"soak.example","prefix":"/both/","route_type":"idempotent","timeout":"2s","target_latency":"1s","priority":2,"backends":[{"service":"reads","weight":60},{"service":"votes","weight":40}],"max_attempts":2},
-"once":{"host":"soak.example","prefix":"/once/","route_type":"non_idempotent","timeout":"2s","target_latency":"1s","priority":1,"service":"votes","max_attempts":2}},
-"services":{"reads":{},"votes":{}},"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3s","idle_timeout":"15s"}}`
-
 // configure writes a new version of the configuration.
 func (s *soak) configure(way int) {
 	s.version += 1 + way%3
-	s.store.Put("op", "config", fmt.Sprintf(routes, s.version, 1500+way%500))
+	timeout := time.Duration(1500+way%500) * time.Millisecond
+	s.store.Put("op", "config", standin.Config(s.version, timeout))
 }
 
 // balance keeps the rotation as a balancer would.
