One sliding window serves the retry budget and the trouble of a service

Cause: budget.go and trouble.go each held the same ring of parts, the same choice of the present part and the same sum. window.go now holds it once; both call it.

No bound changes: the parts, their length and the comparisons are as before. A change of the limits under way still changes the length of a part.

--- a/pkg/pool/budget.go
+++ b/pkg/pool/budget.go
@@ -19,13 +19,7 @@
 // retries cannot multiply the load on servers that fail.
 type budget struct {
 	limits RetryLimits
-	parts  [budgetParts + 1]budgetPart
-}
-
-type budgetPart struct {
-	number   int64 // Of the part since the zero time.
-	requests int
-	retries  int
+	sent   window // Requests, of which retries are marked.
 }
 
 // Bounds of a home's part of the limits. A home that takes over cannot know what
@@ -38,36 +32,25 @@
 
 // newBudget returns the budget of a home that has just taken over.
 func newBudget(now time.Time, l RetryLimits) budget {
-	b := budget{limits: l}
-	b.part(now).retries = max(0, int(budgetShare*float64(l.Slack))-firstSpends)
+	b := budget{limits: l, sent: newWindow(budgetParts)}
+	b.part(now).marked = max(0, int(budgetShare*float64(l.Slack))-firstSpends)
 	return b
 }
 
 // part returns the present part of the window.
-func (b *budget) part(now time.Time) *budgetPart {
-	n := now.UnixNano() / max(1, int64(b.limits.Window)/budgetParts)
-	p := &b.parts[n%int64(len(b.parts))]
-	if p.number != n {
-		*p = budgetPart{number: n}
-	}
-	return p
-}
+func (b *budget) part(now time.Time) *windowPart { return b.sent.part(now, b.length()) }
+
+// length returns that of a part. The limits may change under way.
+func (b *budget) length() time.Duration { return b.limits.Window / budgetParts }
 
 // earn counts a request.
-func (b *budget) earn(now time.Time) { b.part(now).requests++ }
+func (b *budget) earn(now time.Time) { b.part(now).all++ }
 
 // spend counts a sending beyond a request's first.
-func (b *budget) spend(now time.Time) { b.part(now).retries++ }
+func (b *budget) spend(now time.Time) { b.part(now).marked++ }
 
 // may reports whether one more such sending is within the limits.
 func (b *budget) may(now time.Time) bool {
-	last := b.part(now).number
-	requests, retries := 0, 0
-	for _, p := range b.parts {
-		if last-p.number <= budgetParts {
-			requests += p.requests
-			retries += p.retries
-		}
-	}
-	return float64(retries+1) <= budgetShare*(b.limits.Ratio*float64(requests)+float64(b.limits.Slack))
+	s := b.sent.sum(now, b.length())
+	return float64(s.marked+1) <= budgetShare*(b.limits.Ratio*float64(s.all)+float64(b.limits.Slack))
 }
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -128,6 +128,7 @@
 		servers: make(map[site.ServerName]*server),
 		queue:   newQueue(),
 		budget:  newBudget(now, set.Retry),
+		trouble: newTrouble(),
 		grants:  make(map[GrantID]*outstanding),
 		usuals:  make(map[site.RuleName]usual),
 		meanMs:  float64(firstGuess.Milliseconds()),
--- a/pkg/pool/trouble.go
+++ b/pkg/pool/trouble.go
@@ -17,44 +17,28 @@
 	failureCounts = 2 * time.Second
 )
 
-// trouble counts how requests end, over a sliding window.
-type trouble struct{ parts [troubleParts + 1]troublePart }
+// troubleLength is that of a part of the window.
+const troubleLength = troubleTime / troubleParts
 
-type troublePart struct {
-	number        int64 // Of the part since the zero time.
-	ended, failed int
-}
+// trouble counts how requests end, over a sliding window.
+type trouble struct{ ends window }
 
-// part returns the present part of the window.
-func (t *trouble) part(now time.Time) *troublePart {
-	n := now.UnixNano() / int64(troubleTime/troubleParts)
-	p := &t.parts[n%int64(len(t.parts))]
-	if p.number != n {
-		*p = troublePart{number: n}
-	}
-	return p
-}
+// newTrouble returns the trouble of a service of which nothing is known.
+func newTrouble() trouble { return trouble{ends: newWindow(troubleParts)} }
 
 // ended counts a request's end.
 func (t *trouble) ended(now time.Time, failed bool) {
-	p := t.part(now)
-	p.ended++
+	p := t.ends.part(now, troubleLength)
+	p.all++
 	if failed {
-		p.failed++
+		p.marked++
 	}
 }
 
 // is reports whether the service fails more than a few of its requests.
 func (t *trouble) is(now time.Time) bool {
-	last := t.part(now).number
-	ended, failed := 0, 0
-	for _, p := range t.parts {
-		if last-p.number <= troubleParts {
-			ended += p.ended
-			failed += p.failed
-		}
-	}
-	return ended >= troubleLeast && float64(failed) > troubleShare*float64(ended)
+	s := t.ends.sum(now, troubleLength)
+	return s.all >= troubleLeast && float64(s.marked) > troubleShare*float64(s.all)
 }
 
 // starved reports whether a server should get a request in trouble.
