A refused attempt leaves the key to the others that wait

Cause: an attempt that its home refused freed the key's row to make "not run" true.

Ruled out: letting superseded attempts run again, which would break the word given to the refused caller; a fingerprint in place of the key, since two keys may ask for the same.

Now the home, which knows who waits or has a slot, answers inProgress (unknown) in place of a refusal while another attempt with the key does; nothing is freed. An attempt whose caller left frees nothing.

The platform's routes have no keys and are untouched.

--- a/pkg/claim/ledger.go
+++ b/pkg/claim/ledger.go
@@ -19,7 +19,7 @@
 
 // Look reads a key's row. Errors: store.Unavailable.
 func (l *Ledger) Look(ctx context.Context, id ID) (Sight, error) {
-	row, err := l.table.Get(ctx, id.row())
+	row, err := l.table.Get(ctx, id.Row())
 	if store.NotFound.Has(err) {
 		return Free{}, nil
 	}
@@ -96,7 +96,7 @@
 	if err != nil {
 		return Away{err}
 	}
-	rev, err := l.table.Put(ctx, b.ID.row(), raw, expect)
+	rev, err := l.table.Put(ctx, b.ID.Row(), raw, expect)
 	switch {
 	case err == nil:
 		return Won{rev}
@@ -111,7 +111,7 @@
 // readBack finds out whose row stands after a write without an answer. A row
 // still at the old revision proves nothing: the write may be on its way.
 func (l *Ledger) readBack(ctx context.Context, b Bid, expect store.Revision, r *record, cause error) Answer {
-	row, err := l.table.Get(ctx, b.ID.row())
+	row, err := l.table.Get(ctx, b.ID.Row())
 	if err != nil || row.Revision <= expect {
 		return Unsure{cause}
 	}
--- a/pkg/claim/record.go
+++ b/pkg/claim/record.go
@@ -34,9 +34,9 @@
 	Key     string
 }
 
-// row returns the table's key. Callers' keys are hashed, since they may be
+// Row returns the table's key. Callers' keys are hashed, since they may be
 // long and hold any character.
-func (id ID) row() store.Key {
+func (id ID) Row() store.Key {
 	h := sha256.New()
 	h.Write([]byte(id.Account))
 	h.Write([]byte{0})
--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -9,6 +9,7 @@
 	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/claim"
 	"laburnumpick.org/pkg/outcome"
+	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/quarantine"
 	"laburnumpick.org/pkg/site"
 	"laburnumpick.org/pkg/store"
@@ -38,6 +39,14 @@
 	return claim.ID{Site: s, Service: j.Match.Service, Account: j.Once.Account, Key: j.Once.Key}
 }
 
+// unclaimed returns the key that the job has yet to claim, or "".
+func (j *Job) unclaimed(s site.Name, res *Result) pool.OnceKey {
+	if j.Once == nil || res.Claimed {
+		return ""
+	}
+	return pool.OnceKey(j.claimID(s).Row())
+}
+
 // target tells people what the job asks for.
 func (j *Job) target() string { return j.Request.Method + " " + j.Request.URL.Path }
 
@@ -52,6 +61,8 @@
 	// is true of the key. Base is the revision to go on from.
 	Fenced bool
 	Base   store.Revision
+	// Claimed means that the claim of the key was tried.
+	Claimed bool
 	// Beaten means that the key's row moved before the claim.
 	Beaten bool
 }
--- a/pkg/dispatch/once.go
+++ b/pkg/dispatch/once.go
@@ -70,6 +70,7 @@
 		Base: j.Once.Base, Until: deadline,
 	}
 	d.cfg.Scope.Counter("claims").Inc(1)
+	res.Claimed = true
 	switch a := d.ledger.Claim(ctx, time.Now(), b).(type) {
 	case claim.Won:
 		return d.runs.begin(b, a.Revision)
--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -75,6 +75,7 @@
 		RequestID: j.Request.ID, Service: j.Match.Service, DataCentre: d.cfg.DataCentre, Account: j.Account,
 		Class: j.Match.Run, Rule: j.Match.Rule, Priority: j.Match.Priority, Fingerprint: j.Fingerprint,
 		Exclude: append(slices.Clone(res.Failed), d.shun.All(now)...), Known: res.Asks > 0, Sends: res.Tries, Attempts: j.Match.Attempts, AtOnce: atOnce,
+		Key: j.unclaimed(d.cfg.Site, res),
 	}
 	res.Asks++
 	if deadline, ok := ctx.Deadline(); ok {
--- a/pkg/entry/keyed.go
+++ b/pkg/entry/keyed.go
@@ -120,6 +120,9 @@
 		return nil, moved{}
 	case res.Fenced:
 		return f, settled{}
+	case f.Kind == outcome.Canceled && !x.first:
+		// Nobody waits for the word that would take the key from other attempts.
+		return x.unvouched(f, context.Cause(ctx)), settled{}
 	case f.Outcome() == outcome.NotRun:
 		return x.vouch(ctx, once, f)
 	default:
--- a/pkg/home/grant.go
+++ b/pkg/home/grant.go
@@ -35,11 +35,12 @@
 	TargetLeft  time.Duration // Zero where there is no target.
 	Fingerprint quarantine.Fingerprint
 	Exclude     []site.ServerName
-	Known       bool        // A slot has been asked for before.
-	Sends       int         // Servers that the request has been sent to.
-	Attempts    int         // Servers that it may be sent to in all.
-	Ticket      pool.Ticket // Of a wait that goes on.
-	AtOnce      bool        // A request that would have to wait gets no slot.
+	Known       bool         // A slot has been asked for before.
+	Sends       int          // Servers that the request has been sent to.
+	Attempts    int          // Servers that it may be sent to in all.
+	Ticket      pool.Ticket  // Of a wait that goes on.
+	AtOnce      bool         // A request that would have to wait gets no slot.
+	Key         pool.OnceKey // That the request has yet to claim; empty for none.
 }
 
 // request returns what the pool must know.
@@ -47,6 +48,7 @@
 	r := pool.Request{
 		Account: a.Account, Class: a.Class, Rule: a.Rule, DataCentre: a.DataCentre, Priority: a.Priority,
 		Deadline: now.Add(a.Left), Exclude: a.Exclude, Known: a.Known, Sends: a.Sends, Attempts: a.Attempts, Suspect: suspect, AtOnce: a.AtOnce,
+		Key: a.Key,
 	}
 	if a.TargetLeft != 0 {
 		r.Target = now.Add(a.TargetLeft)
@@ -57,6 +59,7 @@
 // wait is a request that waits for a slot.
 type wait struct {
 	id       string // Of the request.
+	key      pool.OnceKey
 	until    time.Time
 	decision chan pool.Decision
 	asked    time.Time
@@ -101,13 +104,13 @@
 			Kind: outcome.Quarantined, Detail: "the request has crashed several backend servers", RetryAfter: left,
 		}, nil
 	}
-	d := p.Admit(now, a.request(now, losses > 0))
+	d := p.shared(p.Admit(now, a.request(now, losses > 0)), a.Key)
 	h.tell(now, p, a, d)
 	t, waits := d.(pool.Waiting)
 	if !waits {
 		return d, nil
 	}
-	w := &wait{a.RequestID, now.Add(a.Left), make(chan pool.Decision, 1), now}
+	w := &wait{a.RequestID, a.Key, now.Add(a.Left), make(chan pool.Decision, 1), now}
 	p.waiting[t.Ticket] = w
 	h.wake(now, p) // Tells requests that this one pushed out.
 	return d, w
@@ -207,10 +210,11 @@
 func (h *Home) wake(now time.Time, p *held) {
 	for _, w := range p.Wake(now) {
 		if x, ok := p.waiting[w.Ticket]; ok {
-			if r, refused := w.Decision.(pool.Refused); refused {
+			d := p.shared(w.Decision, x.key)
+			if r, refused := d.(pool.Refused); refused {
 				h.tellRefused(p, x.id, x.until.Sub(now), r)
 			}
-			x.decision <- w.Decision // The channel has room for the one decision.
+			x.decision <- d // The channel has room for the one decision.
 			continue
 		}
 		if g, granted := w.Decision.(pool.Granted); granted {
@@ -219,6 +223,18 @@
 	}
 }
 
+// shared makes a refusal say less where another attempt with the same key waits
+// or has a slot: to vouch for "not run" the key would have to be taken from that
+// one too.
+func (p *held) shared(d pool.Decision, k pool.OnceKey) pool.Decision {
+	r, refused := d.(pool.Refused)
+	if !refused || !p.Holds(k) {
+		return d
+	}
+	r.Kind, r.Detail = outcome.InProgress, r.Detail+"; another attempt with the same key waits or runs"
+	return r
+}
+
 // Ended is what became of a granted request.
 type Ended struct {
 	Service     site.ServiceName
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -18,6 +18,9 @@
 // ID names a pool by its service.
 type ID site.ServiceName
 
+// OnceKey names a key under which a request runs once.
+type OnceKey string
+
 // Request is what a pool must know of a request.
 type Request struct {
 	Account    site.AccountName
@@ -33,6 +36,7 @@
 	Attempts   int               // Servers that it may be sent to in all; 0 for no bound.
 	AtOnce     bool              // It gets a slot that is free or none.
 	Suspect    bool              // It has taken a server down, so it runs apart from other such ones.
+	Key        OnceKey           // That it has yet to claim; empty for none.
 }
 
 // Decision is Granted, Waiting or Refused.
@@ -117,6 +121,7 @@
 type outstanding struct {
 	grant   Granted
 	holder  *server
+	key     OnceKey   // Of its request.
 	expires time.Time // When its VM is held for lost.
 }
 
@@ -323,7 +328,7 @@
 		More: r.Class == site.Repeatable && (r.Attempts == 0 || r.Sends+1 < r.Attempts) && p.budget.may(now),
 	}
 	g.Patience = p.patience(now, r, trial)
-	p.grants[g.ID] = &outstanding{g, v, r.Deadline.Add(grantGrace)}
+	p.grants[g.ID] = &outstanding{g, v, r.Key, r.Deadline.Add(grantGrace)}
 	return g
 }
 
@@ -348,6 +353,19 @@
 // scale returns a multiple of a time in milliseconds.
 func scale(ms, by float64) time.Duration { return time.Duration(ms * by * float64(time.Millisecond)) }
 
+// Holds reports whether a request with the key waits or has a slot.
+func (p *Pool) Holds(k OnceKey) bool {
+	if k == "" {
+		return false
+	}
+	for _, o := range p.grants {
+		if o.key == k {
+			return true
+		}
+	}
+	return slices.ContainsFunc(p.queue.waiters, func(w waiter) bool { return w.request.Key == k })
+}
+
 // Grant returns a grant that has not been released.
 func (p *Pool) Grant(id GrantID) (Granted, bool) {
 	o, ok := p.grants[id]
--- a/pkg/trial/once_test.go
+++ b/pkg/trial/once_test.go
@@ -357,3 +357,34 @@
 		assert.Equal(t, f.Runs()["a"], 1)
 	})
 }
+
+// TestRefusedAttemptSparesTheOthers sends four attempts with one key at once
+// while all slots are in use. The one that has too little time is refused, and
+// the caller of the next one leaves; the two others must run the key all the
+// same.
+func TestRefusedAttemptSparesTheOthers(t *testing.T) {
+	withFleet(t, "tt-north", small(), func(t *testing.T, f *trial.Fleet) {
+		for _, s := range f.Servers {
+			s.Set(standin.Faults{SlowFactor: 40}) // 0.4 s and more.
+		}
+		for i := range 8 * 3 { // The slots of ballotline.
+			go f.Call(bg, f.VMs[i%len(f.VMs)], aVote(fmt.Sprint("other-", i)))
+		}
+		time.Sleep(100 * time.Millisecond)
+		patient := make(chan trial.Reply, 2)
+		for i := range cap(patient) {
+			go func() { patient <- f.Call(bg, f.VMs[i], aVote("a")) }()
+		}
+		leaving, leave := context.WithCancel(bg)
+		go f.Call(leaving, f.VMs[2], aVote("a"))
+		time.Sleep(50 * time.Millisecond)
+		c := aVote("a")
+		c.Deadline = 60 * time.Millisecond
+		assertOutcome(t, f.Call(bg, f.VMs[3], c), outcome.Unknown, outcome.InProgress)
+		leave()
+		for range cap(patient) {
+			assertOutcome(t, <-patient, outcome.Answered, "")
+		}
+		assert.Equal(t, f.Runs()["a"], 1)
+	})
+}
