Answers from before a failure do not end a server's rest

A rest now ends only by the answer to a grant made after the failure, and failures of earlier grants add nothing.

Test: TestAnswerFromBeforeTheFailureEndsNoRest, failed first (used again after 300 ms).

--- a/pkg/pool/choose.go
+++ b/pkg/pool/choose.go
@@ -14,7 +14,7 @@
 	var best *server
 	by := ranking{
 		now: now, near: r.DataCentre, proves: p.proves(now, r),
-		trouble: p.trouble.is(now) && !r.Suspect,
+		trouble: p.trouble.is(now) && !r.Suspect, pressed: p.pressed(now),
 		careful: r.Class == site.AtMostOnce && p.usable(now, r),
 	}
 	for _, v := range p.order {
@@ -28,6 +28,10 @@
 	return best
 }
 
+// pressed reports whether as many requests wait as the servers that may be used
+// run at once.
+func (p *Pool) pressed(now time.Time) bool { return p.queue.len() > p.slots(now) }
+
 // proves reports whether a request may find out whether a server's spell of
 // failures is over: it can be sent to another server after it.
 func (p *Pool) proves(now time.Time, r Request) bool {
@@ -42,6 +46,8 @@
 	proves bool // The request may find out whether a server works again.
 	// trouble says that the service fails many requests.
 	trouble bool
+	// pressed says that many requests wait for slots.
+	pressed bool
 	// careful says that the request may run only once, and that other servers may
 	// run it: a refusal is better for its caller than a failure, of which nobody
 	// knows whether it ran.
--- a/pkg/pool/report.go
+++ b/pkg/pool/report.go
@@ -85,7 +85,7 @@
 	}
 	before := v.state
 	p.count(now, v, g, r)
-	p.weigh(now, v, r, g.Trial)
+	p.weigh(now, v, g, r)
 	if v.state == before || p.servers[v.cfg.Name] != v {
 		return nil
 	}
@@ -110,23 +110,23 @@
 }
 
 // weigh takes a report as evidence.
-func (p *Pool) weigh(now time.Time, v *server, r Report, trial bool) {
+func (p *Pool) weigh(now time.Time, v *server, g Granted, r Report) {
 	switch r := r.(type) {
 	case Served:
-		p.served(now, v, r, trial)
+		p.served(now, v, g, r)
 	case Failed:
-		p.failed(now, v, r, trial)
+		p.failed(now, v, g, r)
 	case Declined:
 		p.declined(now, v, r.Why)
 	case Dropped:
 		p.dropped(now, v, r)
 	case Unreached:
-		p.unreached(now, v, r)
+		p.unreached(now, v, g, r)
 	}
 }
 
-func (p *Pool) served(now time.Time, v *server, r Served, trial bool) {
-	v.end()
+func (p *Pool) served(now time.Time, v *server, g Granted, r Served) {
+	v.end(g.ID)
 	v.servedAt = now
 	ms := milliseconds(r.Took)
 	v.addFailure(false, p.peersFailRate(v))
@@ -139,7 +139,7 @@
 	if v.trusted() {
 		p.meanMs += (ms - p.meanMs) / 32
 	}
-	if trial && !v.trusted() {
+	if g.Trial && !v.trusted() {
 		p.tried(now, v, p.tooSlow(v, r.Rule, r.Took))
 		return
 	}
@@ -151,14 +151,14 @@
 	}
 }
 
-func (p *Pool) failed(now time.Time, v *server, r Failed, trial bool) {
+func (p *Pool) failed(now time.Time, v *server, g Granted, r Failed) {
 	// Good servers answer a request with a failure of its own now and then. A
 	// connection that breaks tells of the server.
 	if !r.Answered || v.failRate >= answeredRate {
-		v.begin(now)
+		v.begin(now, g.ID, v.lastGrant)
 	}
 	v.addFailure(true, p.peersFailRate(v))
-	if trial && !v.trusted() {
+	if g.Trial && !v.trusted() {
 		p.tried(now, v, true)
 		return
 	}
@@ -263,14 +263,14 @@
 // unreached takes in that a VM could not open a connection. Where others have
 // just been served, the link is cut for that VM alone, which leaves the server
 // out by itself.
-func (p *Pool) unreached(now time.Time, v *server, r Unreached) {
+func (p *Pool) unreached(now time.Time, v *server, g Granted, r Unreached) {
 	switch {
 	case v.state == Held || v.state == Leaving:
 	case r.Crashed:
 		v.move(now, Down, "it went down during a request")
 		v.nextTrial = now.Add(v.reachGap())
 	case now.Sub(v.servedAt) > servedLately:
-		v.begin(now)
+		v.begin(now, g.ID, v.lastGrant)
 	}
 }
 
--- a/pkg/pool/rest.go
+++ b/pkg/pool/rest.go
@@ -8,6 +8,10 @@
 const (
 	firstRest = 2 * time.Second
 	maxRest   = 8 * time.Second
+	// pressedRest is the rest after a failure while many requests wait for slots: what a
+	// server could serve once its spell is over is worth more than the one request
+	// that may find it in the spell still.
+	pressedRest = time.Second
 	// provenAfter is how long after its rest a server that got no request counts
 	// as proven. Until then it is used where others have no slot free, so a long
 	// time costs no capacity.
@@ -24,24 +28,41 @@
 // is used where no other server has a slot in time.
 type rest struct {
 	till  time.Time
-	spell int // Failures since the last success.
+	since time.Time // When a request last failed.
+	spell int       // Failures since the last success.
+	// after is the server's last grant when the rest began. How that and earlier
+	// ones end tells nothing of the time since.
+	after GrantID
 }
 
-// begin starts a rest, longer with each failure in a row.
-func (r *rest) begin(now time.Time) {
-	if now.Before(r.till) {
-		return // Requests that were under way tell nothing new.
+// begin starts a rest after the failure of a grant, longer with each failure in a
+// row. last is the server's latest grant.
+func (r *rest) begin(now time.Time, g, last GrantID) {
+	if g <= r.after {
+		return // It was under way when the rest began.
+	}
+	r.since, r.after = now, last
+	if r.resting(now) {
+		return
 	}
 	r.till = now.Add(min(firstRest<<min(r.spell, 8), maxRest))
 	r.spell++
 }
 
-// end notes a success.
-func (r *rest) end() { *r = rest{} }
+// end notes the success of a grant.
+func (r *rest) end(g GrantID) {
+	if g > r.after {
+		*r = rest{}
+	}
+}
 
 // resting reports whether the server should get no request.
 func (r *rest) resting(now time.Time) bool { return now.Before(r.till) }
 
+// pressable reports whether a resting server may get one request, since others
+// wait for slots.
+func (r *rest) pressable(now time.Time) bool { return now.Sub(r.since) >= pressedRest }
+
 // unproven reports whether the server has rested and not yet succeeded again. It
 // then gets one request at a time.
 func (r *rest) unproven(now time.Time) bool {
--- a/pkg/pool/spell_test.go
+++ b/pkg/pool/spell_test.go
@@ -37,6 +37,31 @@
 	assert.Assert(t, failed <= sent/25, "%d of %d failed", failed, sent)
 }
 
+// TestAnswerFromBeforeTheFailureEndsNoRest lets a server that runs two requests
+// break the second one's connection at once, as in the first moment of a spell.
+// The first one, which came before, is answered later.
+func TestAnswerFromBeforeTheFailureEndsNoRest(t *testing.T) {
+	p := withPool(2, 3)
+	once := aRequest("a")
+	once.Class = site.AtMostOnce
+	var early []pool.Granted
+	for range 2 {
+		early = append(early, admit(t, p, start, once))
+	}
+	now := start.Add(100 * time.Millisecond)
+	broken := admit(t, p, now, once)
+	p.Release(now, broken, pool.Failed{Rule: reads, Detail: "reset"})
+	for _, g := range early {
+		p.Release(now.Add(100*time.Millisecond), g, pool.Served{Rule: reads, Took: 200 * time.Millisecond})
+	}
+	for ms := 200; ms < 2000; ms += 100 {
+		at := start.Add(time.Duration(ms) * time.Millisecond)
+		g := admit(t, p, at, once)
+		assert.Assert(t, g.Server.Name != broken.Server.Name, "used again after %d ms", ms)
+		p.Release(at, g, pool.Served{Rule: reads, Took: 200 * time.Millisecond})
+	}
+}
+
 // spell reports whether a server of the test is in a spell of failures.
 func spell(n site.ServerName) bool { return n == "s-1" || n == "s-10" || n == "s-11" || n == "s-3" }
 
--- a/pkg/pool/wake.go
+++ b/pkg/pool/wake.go
@@ -40,7 +40,7 @@
 func (p *Pool) free(now time.Time) int {
 	n := 0
 	for _, v := range p.order {
-		if v.open(ranking{now: now}, true) {
+		if v.open(ranking{now: now, pressed: p.pressed(now)}, true) {
 			n += v.room(now) - v.inUse
 		}
 	}
