Once-only requests wait for a proven server, and two good answers prove one

Either the other servers' slots were all in use for a moment (nobody queued), or one good answer, which one in six is in a spell, had cleared the server.

Now a once-only request is not used to try a server while fewer wait than half of the proven servers' slots; and it takes two good answers to end a spell, or one where requests wait.

Tests: TestOnceOnlyWaitsForAProvenServer, TestOneGoodAnswerProvesNothing, both fail on the code before.

--- a/pkg/pool/choose.go
+++ b/pkg/pool/choose.go
@@ -16,6 +16,7 @@
 		now: now, near: r.DataCentre, proves: p.proves(now, r),
 		trouble: p.trouble.is(now) && !r.Suspect, pressed: p.pressed(now),
 		careful: r.Class == site.AtMostOnce && p.usable(now, r),
+		waits:   r.Class == site.AtMostOnce && p.queue.len() < p.proven(now, r)/2,
 	}
 	for _, v := range p.order {
 		if !v.open(by, lastResort) || slices.Contains(r.Exclude, v.cfg.Name) || (r.Suspect && v.suspect) {
@@ -32,6 +33,18 @@
 // run at once.
 func (p *Pool) pressed(now time.Time) bool { return p.queue.len() > p.slots(now) }
 
+// proven returns how many slots the servers have that are not in a spell and may
+// take the request.
+func (p *Pool) proven(now time.Time, r Request) int {
+	n := 0
+	for _, v := range p.order {
+		if v.trusted() && !v.resting(now) && !v.unproven(now) && !slices.Contains(r.Exclude, v.cfg.Name) {
+			n += v.warm
+		}
+	}
+	return n
+}
+
 // proves reports whether a request may find out whether a server's spell of
 // failures is over: it can be sent to another server after it.
 func (p *Pool) proves(now time.Time, r Request) bool {
@@ -52,6 +65,9 @@
 	// run it: a refusal is better for its caller than a failure, of which nobody
 	// knows whether it ran.
 	careful bool
+	// waits says that the request may run only once and soon gets a slot of a
+	// server that is proven: it is not used to prove another one.
+	waits bool
 }
 
 // class puts servers into classes, the best first.
--- a/pkg/pool/report.go
+++ b/pkg/pool/report.go
@@ -126,7 +126,7 @@
 }
 
 func (p *Pool) served(now time.Time, v *server, g Granted, r Served) {
-	v.end(g.ID)
+	v.end(now, g.ID, p.queue.len() > 0)
 	v.servedAt = now
 	ms := milliseconds(r.Took)
 	v.addFailure(false, p.peersFailRate(v))
--- a/pkg/pool/rest.go
+++ b/pkg/pool/rest.go
@@ -16,6 +16,8 @@
 	// as proven. Until then it is used where others have no slot free, so a long
 	// time costs no capacity.
 	provenAfter = 30 * time.Second
+	// goodToProve is how many good answers end a spell.
+	goodToProve = 2
 	// spellsToDoubt is how many rests in a row without a success between them make
 	// a server doubted.
 	spellsToDoubt = 3
@@ -29,7 +31,8 @@
 type rest struct {
 	till  time.Time
 	since time.Time // When a request last failed.
-	spell int       // Failures since the last success.
+	spell int       // Failures since the server was last proven.
+	good  int       // Good answers since the last failure.
 	// after is the server's last grant when the rest began. How that and earlier
 	// ones end tells nothing of the time since.
 	after GrantID
@@ -41,7 +44,7 @@
 	if g <= r.after {
 		return // It was under way when the rest began.
 	}
-	r.since, r.after = now, last
+	r.since, r.after, r.good = now, last, 0
 	if r.resting(now) {
 		return
 	}
@@ -49,10 +52,19 @@
 	r.spell++
 }
 
-// end notes the success of a grant.
-func (r *rest) end(g GrantID) {
-	if g > r.after {
+// end notes the success of a grant. Some answers of a spell are good, so it takes
+// more than one to prove a server, unless requests wait for its slots.
+func (r *rest) end(now time.Time, g GrantID, needed bool) {
+	if r.spell == 0 || g <= r.after {
+		return
+	}
+	r.good++
+	if needed || r.good >= goodToProve {
 		*r = rest{}
+		return
+	}
+	if r.resting(now) {
+		r.till = now
 	}
 }
 
@@ -63,7 +75,7 @@
 // wait for slots.
 func (r *rest) pressable(now time.Time) bool { return now.Sub(r.since) >= pressedRest }
 
-// unproven reports whether the server has rested and not yet succeeded again. It
+// unproven reports whether the server has rested and not yet been proven again. It
 // then gets one request at a time.
 func (r *rest) unproven(now time.Time) bool {
 	return r.spell > 0 && !r.resting(now) && now.Sub(r.till) < provenAfter
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -86,6 +86,9 @@
 	if !v.trusted() && (!lastResort || v.state != Doubted) {
 		return false
 	}
+	if v.unproven(now) && k.waits && !lastResort {
+		return false
+	}
 	if v.resting(now) && k.pressed && v.pressable(now) {
 		return v.inUse == 0
 	}
--- a/pkg/pool/spell_test.go
+++ b/pkg/pool/spell_test.go
@@ -62,6 +62,68 @@
 	}
 }
 
+// TestOnceOnlyWaitsForAProvenServer is a calm day with once-only requests: all
+// slots of the servers that are not in a spell are in use for a moment. The next
+// request waits for one of them; it is not used to try a server that has just
+// broken a connection. Where many wait, one is.
+func TestOnceOnlyWaitsForAProvenServer(t *testing.T) {
+	p := withPool(4, 3)
+	once := aRequest("a")
+	once.Class = site.AtMostOnce
+	broken := admit(t, p, start, once)
+	p.Release(start, broken, pool.Failed{Rule: reads, Detail: "reset"})
+	now := start.Add(2100 * time.Millisecond) // The rest is over.
+	var busy []pool.Granted
+	for range 9 {
+		busy = append(busy, admit(t, p, now, once))
+	}
+	_, waits := p.Admit(now, once).(pool.Waiting)
+	assert.Assert(t, waits, "sent to a server in a spell")
+	p.Release(now, busy[0], pool.Served{Rule: reads, Took: 5 * time.Millisecond})
+	woken := p.Wake(now)
+	assert.Equal(t, len(woken), 1)
+	assert.Assert(t, woken[0].Decision.(pool.Granted).Server.Name != broken.Server.Name)
+	tried := false
+	for range 6 {
+		d, granted := p.Admit(now, once).(pool.Granted)
+		tried = tried || (granted && d.Server.Name == broken.Server.Name)
+	}
+	assert.Assert(t, tried, "nobody tries the server although many wait")
+}
+
+// TestOneGoodAnswerProvesNothing lets a server of a spell answer one request well.
+// It goes on getting one request at a time, of those that may be repeated, until a
+// second one is answered.
+func TestOneGoodAnswerProvesNothing(t *testing.T) {
+	p := withPool(2, 3)
+	once := aRequest("a")
+	once.Class = site.AtMostOnce
+	broken := admit(t, p, start, once)
+	p.Release(start, broken, pool.Failed{Rule: reads, Detail: "reset"})
+	now := start.Add(2100 * time.Millisecond)
+	good := pool.Served{Rule: reads, Took: 5 * time.Millisecond}
+	for range 2 {
+		g := admit(t, p, now, aRequest("a"))
+		assert.Equal(t, g.Server.Name, broken.Server.Name)
+		var others []pool.Granted
+		for range 3 {
+			others = append(others, admit(t, p, now, once))
+		}
+		for _, o := range others {
+			assert.Assert(t, o.Server.Name != broken.Server.Name)
+			p.Release(now, o, good)
+		}
+		p.Release(now, g, good)
+	}
+	again := 0
+	for range 4 {
+		if admit(t, p, now, once).Server.Name == broken.Server.Name {
+			again++
+		}
+	}
+	assert.Equal(t, again, 2)
+}
+
 // spell reports whether a server of the test is in a spell of failures.
 func spell(n site.ServerName) bool { return n == "s-1" || n == "s-10" || n == "s-11" || n == "s-3" }
 
