VMs of different data centres meet at once after a start of all

Now a VM that knows nobody beyond its data centre sends each second ping there, and one that knows nobody at all speaks to four VMs of the platform's list as soon as it has read it, not half a second later.

Ruled out: all pings far at all times (bytes between data centres are the dearest price).

Test: TestDataCentresMeetSoon, fails on the code before (vm-0 knows dc-0 only).

--- a/pkg/fleet/sync.go
+++ b/pkg/fleet/sync.go
@@ -22,6 +22,7 @@
 	listAgain   = 5 * time.Second // A leaving server is told of again.
 	fetchTime   = 2 * time.Second
 	roleListing = "listReader"
+	greetings   = 4 // VMs that one which knows no other speaks to at once.
 )
 
 // serveSync fetches the configuration from VMs that have a newer one.
@@ -145,11 +146,18 @@
 		}
 	}
 	var known []roster.Update
+	var unheard []roster.VM
 	n.loop.Do(ctx, func(now time.Time) {
 		n.roster.Seed(now, entries)
 		n.publish(now)
 		known = n.roster.All()
+		if n.greet {
+			unheard = n.roster.Unheard(greetings)
+		}
 	})
+	for _, vm := range unheard {
+		go n.probe(ctx, vm)
+	}
 	n.clean(ctx, now, vms, known)
 }
 
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -140,16 +140,33 @@
 
 // Next returns the VM to ping in this period, or false where there is none. Most
 // pings stay in this VM's data centre, since bytes between data centres are dear
-// and VMs fail one by one.
+// and VMs fail one by one. While no VM of another one is known, as after a start of
+// all, each second ping looks for one.
 func (r *Roster) Next() (VM, bool) {
 	r.round++
-	far := r.round%farEvery == 0
+	far := r.round%farEvery == 0 || (r.onlyNear() && r.round%2 == 1)
 	if vm, ok := r.next(far); ok {
 		return vm, true
 	}
 	return r.next(!far)
 }
 
+// onlyNear reports whether all VMs in the view are of this VM's data centre.
+func (r *Roster) onlyNear() bool {
+	return !slices.ContainsFunc(r.view.vms, func(vm VM) bool { return vm.DataCentre != r.self.DataCentre })
+}
+
+// Unheard picks up to n VMs at random of which only the platform's list tells.
+func (r *Roster) Unheard(n int) []VM {
+	var out []VM
+	for _, i := range r.rng.Perm(len(r.order)) {
+		if m := r.members[r.order[i]]; m != nil && m.Incarnation == 0 && len(out) < n {
+			out = append(out, m.VM)
+		}
+	}
+	return out
+}
+
 // next goes on in the round of pings to the next VM that is far or near.
 func (r *Roster) next(far bool) (VM, bool) {
 	turn := &r.turns[0]
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -125,6 +125,21 @@
 	g.assertViews(t, 48)
 }
 
+// TestDataCentresMeetSoon starts all VMs at once, as after a loss of power. No VM
+// may go on for long in the belief that its own data centre is all there is: each
+// would decide for all pools, with nothing known of their servers.
+func TestDataCentresMeetSoon(t *testing.T) {
+	g := newGroup(45)
+	g.run(1500 * time.Millisecond)
+	for i, r := range g.rosters {
+		seen := map[site.DataCentre]int{}
+		for _, vm := range r.View().VMs() {
+			seen[vm.DataCentre]++
+		}
+		assert.Assert(t, len(seen) > 1, "%s knows %v", aVM(i).Name, seen)
+	}
+}
+
 func TestDeadVMLosesItsRolesSoon(t *testing.T) {
 	g := newGroup(48)
 	g.run(10 * time.Second)
