The home of a pool tells its stand-in which servers fail

A home now tells the VM that would decide in its place (or that has just taken its role) what has changed about failing servers, twice a second at most, and all of it once where that VM is another than before. What a home has seen itself and later goes before what it is told.

Ruled out: asking the earlier home at the first request (nothing to ask where it was killed); riding on heartbeats (seconds late, and to all).

--- a/pkg/fleetapi/grants.go
+++ b/pkg/fleetapi/grants.go
@@ -166,6 +166,29 @@
 	return e
 }
 
+// FromSpells converts what a home knows of servers that fail.
+func FromSpells(n site.ServiceName, spells []pool.Spell) *ShareRequest {
+	req := &ShareRequest{Service: string(n)}
+	for _, s := range spells {
+		req.Spells = append(req.Spells, &Spell{
+			Server: string(s.Server), Failures: int32(s.Failures), RestMs: s.Rest.Milliseconds(), AgeMs: s.Age.Milliseconds(),
+		})
+	}
+	return req
+}
+
+// ToSpells converts what a home knows of servers that fail.
+func ToSpells(m *ShareRequest) []pool.Spell {
+	out := make([]pool.Spell, 0, len(m.GetSpells()))
+	for _, s := range m.GetSpells() {
+		out = append(out, pool.Spell{
+			Server: site.ServerName(s.GetServer()), Failures: int(s.GetFailures()),
+			Rest: time.Duration(s.GetRestMs()) * time.Millisecond, Age: time.Duration(s.GetAgeMs()) * time.Millisecond,
+		})
+	}
+	return out
+}
+
 // FromRegistry converts a change of the list of registered servers.
 func FromRegistry(u registry.Update) *ServerList {
 	out := &ServerList{Since: int64(u.Since), Revision: int64(u.Revision), Whole: u.Whole}
--- a/pkg/home/grant.go
+++ b/pkg/home/grant.go
@@ -71,6 +71,7 @@
 	var w *wait
 	ok := h.loop.Do(ctx, func(at time.Time) {
 		p := h.pool(at, pool.ID(a.Service))
+		p.asked = at
 		if a.Ticket != 0 {
 			w = p.waiting[a.Ticket]
 			if w == nil {
--- a/pkg/home/home.go
+++ b/pkg/home/home.go
@@ -47,6 +47,11 @@
 	Retry    func() pool.RetryLimits
 	Losses   func(quarantine.Loss)    // Tells the other VMs of a loss.
 	Cleared  func(quarantine.Release) // Tells the other VMs that a request is harmless.
+	// StandIn returns the VM that would decide for a service in place of this one,
+	// or "".
+	StandIn func(site.ServiceName) string
+	// Share tells that VM which servers fail.
+	Share func(n site.ServiceName, vm string, spells []pool.Spell)
 }
 
 // Home decides for its pools.
@@ -68,6 +73,9 @@
 	version catalog.Version // The configuration that it is built from.
 	listed  int64           // The changes of the registry that it is built from.
 	used    time.Time
+	asked   time.Time // When a request last asked for a slot.
+	told    time.Time // When the stand-in was last told.
+	standIn string    // The VM that was told.
 	waiting map[pool.Ticket]*wait
 	loaded  bool // The record of servers that are out was asked for.
 }
@@ -100,6 +108,7 @@
 		h.dropLost(now, p)
 		h.wake(now, p)
 		h.intend(now, p)
+		h.share(now, p)
 	}
 	if now.Sub(h.gauged) >= gaugeGap {
 		h.gauged = now
--- a/pkg/pool/rest.go
+++ b/pkg/pool/rest.go
@@ -30,12 +30,14 @@
 // is used where no other server has a slot in time.
 type rest struct {
 	till  time.Time
-	since time.Time // When a request last failed.
+	broke time.Time // When a request last failed.
 	spell int       // Failures since the server was last proven.
 	good  int       // Good answers since the last failure.
 	// after is the server's last grant when the rest began. How that and earlier
 	// ones end tells nothing of the time since.
 	after GrantID
+	// changed is when a rest began or the spell was over.
+	changed time.Time
 }
 
 // begin starts a rest after the failure of a grant, longer with each failure in a
@@ -44,12 +46,13 @@
 	if g <= r.after {
 		return // It was under way when the rest began.
 	}
-	r.since, r.after, r.good = now, last, 0
+	r.broke, r.after, r.good = now, last, 0
 	if r.resting(now) {
 		return
 	}
 	r.till = now.Add(min(firstRest<<min(r.spell, 8), maxRest))
 	r.spell++
+	r.changed = now
 }
 
 // end notes the success of a grant. Some answers of a spell are good, so it takes
@@ -60,7 +63,7 @@
 	}
 	r.good++
 	if needed || r.good >= goodToProve {
-		*r = rest{}
+		*r = rest{changed: now}
 		return
 	}
 	if r.resting(now) {
@@ -73,7 +76,7 @@
 
 // pressable reports whether a resting server may get one request, since others
 // wait for slots.
-func (r *rest) pressable(now time.Time) bool { return now.Sub(r.since) >= pressedRest }
+func (r *rest) pressable(now time.Time) bool { return now.Sub(r.broke) >= pressedRest }
 
 // unproven reports whether the server has rested and not yet been proven again. It
 // then gets one request at a time.
--- /dev/null
+++ b/pkg/pool/spells.go
@@ -0,0 +1,53 @@
+package pool
+
+import (
+	"time"
+
+	"laburnumpick.org/pkg/site"
+)
+
+// Spell is what a home knows of a server that fails, as it is told to the VM that
+// would decide in its place. Times are what has passed or is left, since VMs'
+// clocks differ.
+type Spell struct {
+	Server   site.ServerName
+	Failures int           // In a row; zero where the spell is over.
+	Rest     time.Duration // Until the server may be tried.
+	Age      time.Duration // Since its last failure, or since the spell was over.
+}
+
+// Spells returns what has changed after a time about servers that fail, or, for
+// the zero time, all servers that fail.
+func (p *Pool) Spells(now, after time.Time) []Spell {
+	var out []Spell
+	for _, v := range p.order {
+		if !v.changed.After(after) || (after.IsZero() && v.spell == 0) {
+			continue
+		}
+		s := Spell{Server: v.cfg.Name, Failures: v.spell, Rest: max(0, v.till.Sub(now)), Age: now.Sub(v.changed)}
+		if v.spell > 0 {
+			s.Age = now.Sub(v.broke)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// Learn takes in what another home of the pool knows, where this one has seen
+// nothing newer itself.
+func (p *Pool) Learn(now time.Time, spells []Spell) {
+	for _, s := range spells {
+		v, ok := p.servers[s.Server]
+		if !ok {
+			continue
+		}
+		seen := now.Add(-s.Age)
+		if v.broke.After(seen) || (s.Failures > 0 && v.servedAt.After(seen)) {
+			continue
+		}
+		v.rest = rest{}
+		if s.Failures > 0 {
+			v.rest = rest{till: now.Add(s.Rest), broke: seen, spell: s.Failures, after: v.lastGrant}
+		}
+	}
+}
--- a/pkg/trial/fleet_test.go
+++ b/pkg/trial/fleet_test.go
@@ -292,3 +292,38 @@
 		assert.Assert(t, answered > 0)
 	})
 }
+
+// TestNextHomeKnowsWhichServersFail kills the home of a pool while three of its
+// eight servers break all connections. The VM that decides in its place must not
+// lose votes on them to find that out again.
+func TestNextHomeKnowsWhichServersFail(t *testing.T) {
+	withFleet(t, "tt-north", small(), func(t *testing.T, f *trial.Fleet) {
+		for _, n := range []site.ServerName{"ballotline-2", "ballotline-4", "ballotline-7"} {
+			f.Servers[n].Set(standin.Faults{CloseShare: 1})
+		}
+		home := homeOf(t, f, f.VMs[0], "ballotline")
+		var entries []*trial.VM
+		for _, vm := range f.VMs {
+			if vm != home {
+				entries = append(entries, vm)
+			}
+		}
+		lost := func(name string, n int) int {
+			replies := make(chan trial.Reply, n)
+			for i := range n {
+				time.Sleep(20 * time.Millisecond)
+				go func() { replies <- f.Call(bg, entries[i%len(entries)], aVote(fmt.Sprint(name, i))) }()
+			}
+			lost := 0
+			for range n {
+				if r := <-replies; r.Outcome != outcome.Answered {
+					lost++
+				}
+			}
+			return lost
+		}
+		assert.Assert(t, lost("before", 120) >= 3)
+		f.Kill(home)
+		assert.Equal(t, lost("after", 40), 0)
+	})
+}
