One table of metrics, from which their page is made; store calls, budget, lost lines

Tests hold it to the code in both ways and to docs/operations/metrics.md. New: entry_requests by rule (64 rules at most, the rest as others: a site may have 190,000 routes), home_retries and home_retryBudget, home_servers and home_usableServers, record_linesLeftOut and linesLost, store_calls by result. The home's refusal line tells retries and budget too. Histograms keep few tags, since each set costs memory.

Ruled out: a counter inside the platform adapter (it only translates); so the transport of the store's client counts, for both stores.

--- a/cmd/laburnumpickd/main.go
+++ b/cmd/laburnumpickd/main.go
@@ -16,6 +16,7 @@
 	"laburnumpick.org/pkg/daemon"
 	"laburnumpick.org/pkg/settings"
 	"laburnumpick.org/pkg/site"
+	"laburnumpick.org/pkg/store"
 	"laburnumpick.org/pkg/telemetry"
 	"laburnumpick.org/platform"
 )
@@ -107,12 +108,15 @@
 	if set.Platform.Kind != settings.KindTables {
 		return daemon.Platform{}
 	}
+	calls := store.NewMeter(daemon.NewTransport(nw))
 	cfg := platform.Config{
 		URL: set.Platform.URL, Site: site.Name(set.VM.Site), FloorShare: set.Platform.FloorShare,
-		Sureness: site.Sureness(set.Platform.Sureness), HTTP: &http.Client{Transport: daemon.NewTransport(nw)},
+		Sureness: site.Sureness(set.Platform.Sureness), HTTP: &http.Client{Transport: calls},
 	}
 	for _, dc := range set.Platform.DataCentres {
 		cfg.DataCentres = append(cfg.DataCentres, site.DataCentre(dc))
 	}
-	return platform.New(cfg)
+	p := platform.New(cfg)
+	p.Calls = calls
+	return p
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -81,6 +81,8 @@
 	Servers registry.Source
 	// Contract is what the backend servers speak.
 	Contract backend.Contract
+	// Calls counts the calls to the store, or is nil.
+	Calls *store.Meter
 }
 
 // Addresses are those that a daemon serves.
@@ -130,6 +132,9 @@
 	if p.Store == nil {
 		p.Store = d.storeOf(nw)
 	}
+	if p.Calls != nil {
+		p.Calls.Report(d.tel.Scope.SubScope("store"))
+	}
 	d.assemble(nw, p, ls)
 	return d, d.writeAddresses()
 }
@@ -189,7 +194,9 @@
 	if d.set.Platform.URL == settings.Embedded {
 		return store.NewMemory()
 	}
-	return store.NewClient(d.set.Platform.URL, d.transport(nw))
+	calls := store.NewMeter(d.transport(nw))
+	calls.Report(d.tel.Scope.SubScope("store"))
+	return store.NewClient(d.set.Platform.URL, calls)
 }
 
 // transport is for control calls only; callers' requests never use it.
@@ -287,7 +294,7 @@
 	control.Add(d.dispatcher.Settler())
 	control.Add(&pruner{d.dispatcher})
 	if nw.Account != nil {
-		control.Add(record.Summaries{Writer: nw.Account})
+		control.Add(record.Summaries{Writer: nw.Account, Scope: d.tel.Scope.SubScope("record")})
 	}
 	for _, s := range d.node.Services() {
 		control.Add(s)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -67,6 +67,10 @@
 	DefaultAccount account.Limits
 }
 
+// maxRules bounds the rules that metrics tell apart, since a site may have many
+// thousands of routes.
+const maxRules = 64
+
 // Config is what an entry needs.
 type Config struct {
 	Self    roster.VM
@@ -94,11 +98,12 @@
 	inFlight atomic.Int64
 	stopping atomic.Bool
 	endsAt   atomic.Pointer[time.Time] // When the process ends, once it stops.
+	rules    *telemetry.Values         // Of the tag of requests.
 }
 
 // New returns an entry.
 func New(cfg Config) *Entry {
-	return &Entry{cfg: cfg, limiter: account.NewLimiter(), vouches: account.NewLimiter()}
+	return &Entry{cfg: cfg, limiter: account.NewLimiter(), vouches: account.NewLimiter(), rules: telemetry.NewValues(maxRules)}
 }
 
 // Stop turns the health answer, so that the balancer sends no new callers. The
@@ -202,9 +207,15 @@
 		x.refuse(f)
 	}
 	x.tell(time.Now(), r, f)
+	e.count(x, kind, time.Since(x.began))
+}
+
+// count counts a request's end in the metrics. Histograms have no rule, since each
+// set of tags costs memory.
+func (e *Entry) count(x *exchange, kind string, took time.Duration) {
 	scope := e.cfg.Scope.Tagged(map[string]string{"kind": kind, "priority": strconv.Itoa(x.match.Priority)})
-	scope.Counter("requests").Inc(1)
-	scope.Histogram("requestSeconds", telemetry.Seconds).RecordDuration(time.Since(x.began))
+	scope.Histogram("requestSeconds", telemetry.Seconds).RecordDuration(took)
+	scope.Tagged(map[string]string{"rule": e.rules.Name(string(x.match.Rule))}).Counter("requests").Inc(1)
 }
 
 // tell accounts for what became of a request, with what decided it.
--- a/pkg/home/grant.go
+++ b/pkg/home/grant.go
@@ -125,18 +125,18 @@
 		record.Usual(now, record.Granted, "home: granted", "id", a.RequestID, "pool", p.ID(), "server", d.Server.Name,
 			"trial", d.Trial, "sends", a.Sends, "left", a.Left.Round(time.Millisecond), "config", p.version)
 	case pool.Refused:
-		h.tellRefused(p, a.RequestID, a.Left, d)
+		h.tellRefused(now, p, a.RequestID, a.Left, d)
 	case pool.Waiting:
 	}
 }
 
 // tellRefused accounts for a refusal.
-func (h *Home) tellRefused(p *held, id string, left time.Duration, r pool.Refused) {
+func (h *Home) tellRefused(now time.Time, p *held, id string, left time.Duration, r pool.Refused) {
 	h.cfg.Scope.Tagged(map[string]string{"kind": string(r.Kind)}).Counter("refusals").Inc(1)
-	s := p.Sums()
+	s := p.Sums(now)
 	record.Notable("home: refused", "id", id, "pool", p.ID(), "kind", r.Kind, "detail", r.Detail,
 		"retryAfter", r.RetryAfter.Round(time.Millisecond), "left", left.Round(time.Millisecond),
-		"queued", s.Queued, "inUse", s.InUse, "slots", s.Slots, "servers", s.Servers, "usable", s.Usable,
+		"queued", s.Queued, "inUse", s.InUse, "slots", s.Slots, "servers", s.Servers, "usable", s.Usable, "retries", s.Retries, "budget", s.Budget,
 		"config", p.version, "registry", h.cfg.Registry.State().Revision)
 }
 
@@ -213,7 +213,7 @@
 		if x, ok := p.waiting[w.Ticket]; ok {
 			d := p.shared(w.Decision, x.key)
 			if r, refused := d.(pool.Refused); refused {
-				h.tellRefused(p, x.id, x.until.Sub(now), r)
+				h.tellRefused(now, p, x.id, x.until.Sub(now), r)
 			}
 			x.decision <- d // The channel has room for the one decision.
 			continue
--- a/pkg/home/home.go
+++ b/pkg/home/home.go
@@ -112,7 +112,7 @@
 	}
 	if now.Sub(h.gauged) >= gaugeGap {
 		h.gauged = now
-		h.gauge()
+		h.gauge(now)
 	}
 }
 
@@ -120,13 +120,17 @@
 const gaugeGap = time.Second
 
 // gauge tells the metrics how the pools stand.
-func (h *Home) gauge() {
+func (h *Home) gauge(now time.Time) {
 	for id, p := range h.pools {
-		s := p.Sums()
+		s := p.Sums(now)
 		scope := h.cfg.Scope.Tagged(map[string]string{"pool": string(id)})
 		scope.Gauge("queued").Update(float64(s.Queued))
 		scope.Gauge("slotsInUse").Update(float64(s.InUse))
 		scope.Gauge("slots").Update(float64(s.Slots))
+		scope.Gauge("servers").Update(float64(s.Servers))
+		scope.Gauge("usableServers").Update(float64(s.Usable))
+		scope.Gauge("retries").Update(float64(s.Retries))
+		scope.Gauge("retryBudget").Update(float64(s.Budget))
 	}
 }
 
--- a/pkg/pool/budget.go
+++ b/pkg/pool/budget.go
@@ -51,6 +51,12 @@
 
 // may reports whether one more such sending is within the limits.
 func (b *budget) may(now time.Time) bool {
+	spent, allowed := b.spent(now)
+	return spent < allowed
+}
+
+// spent returns how many such sendings the window holds, and how many it may.
+func (b *budget) spent(now time.Time) (spent, allowed int) {
 	s := b.sent.sum(now, b.length())
-	return float64(s.marked+1) <= budgetShare*(b.limits.Ratio*float64(s.all)+float64(b.limits.Slack))
+	return s.marked, int(budgetShare * (b.limits.Ratio*float64(s.all) + float64(b.limits.Slack)))
 }
--- a/pkg/pool/intent.go
+++ b/pkg/pool/intent.go
@@ -199,11 +199,14 @@
 	Slots   int // Slots of all servers that are not leaving or down.
 	Servers int // Servers.
 	Usable  int // Servers that are trusted and do not rest.
+	Retries int // Sendings beyond the first in the budget's window.
+	Budget  int // How many of them the budget allows.
 }
 
 // Sums returns the pool's numbers.
-func (p *Pool) Sums() Sums {
+func (p *Pool) Sums(now time.Time) Sums {
 	s := Sums{Queued: p.queue.len(), Servers: len(p.order)}
+	s.Retries, s.Budget = p.budget.spent(now)
 	for _, v := range p.order {
 		s.InUse += v.inUse
 		if v.state != Leaving && v.state != Down && v.state != Held {
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -86,18 +86,27 @@
 	if !v.trusted() && (!lastResort || v.state != Doubted) {
 		return false
 	}
-	if v.unproven(now) && k.waits && !lastResort {
-		return false
-	}
 	if v.resting(now) && k.pressed && v.pressable(now) {
 		return v.inUse == 0
 	}
-	if v.resting(now) && (!lastResort || k.careful) {
+	if !v.admits(k, lastResort) {
 		return false
 	}
 	return v.inUse < v.room(now) && !v.pausedUntil.After(now)
 }
 
+// admits reports whether the server's last failures let a request in.
+func (v *server) admits(k ranking, lastResort bool) bool {
+	switch {
+	case v.resting(k.now):
+		return lastResort && !k.careful
+	case v.unproven(k.now):
+		return lastResort || !k.waits
+	default:
+		return true
+	}
+}
+
 // room returns how many requests the server may run at once by now.
 func (v *server) room(now time.Time) int {
 	if v.unproven(now) {
--- a/pkg/pool/spell_test.go
+++ b/pkg/pool/spell_test.go
@@ -422,7 +422,7 @@
 		home.Release(now, g, pool.Served{Rule: reads, Took: 5 * time.Millisecond})
 	}
 	next.Learn(now, home.Spells(now, start))
-	assert.Equal(t, next.Sums().Usable, 4)
+	assert.Equal(t, next.Sums(now).Usable, 4)
 }
 
 // TestStandInBelievesItsOwnEyes tells a home of a failure that is older than an
@@ -432,9 +432,9 @@
 	now := start.Add(time.Second)
 	p.Release(now, admit(t, p, now, aRequest("a")), pool.Served{Rule: reads, Took: 5 * time.Millisecond})
 	p.Learn(now, []pool.Spell{{Server: "s-0", Failures: 1, Rest: time.Second, Age: 100 * time.Millisecond}})
-	assert.Equal(t, p.Sums().Usable, 1)
+	assert.Equal(t, p.Sums(now).Usable, 1)
 	p.Learn(now, []pool.Spell{{Server: "s-0", Failures: 1, Rest: time.Second}})
-	assert.Equal(t, p.Sums().Usable, 0)
+	assert.Equal(t, p.Sums(now).Usable, 0)
 	p.Learn(now.Add(time.Second), []pool.Spell{{Server: "s-0", Age: 2 * time.Second}})
-	assert.Equal(t, p.Sums().Usable, 0)
+	assert.Equal(t, p.Sums(now).Usable, 0)
 }
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 )
 
@@ -87,7 +88,10 @@
 const summaryGap = time.Second
 
 // Summaries is the service that tells what was left out.
-type Summaries struct{ Writer *Writer }
+type Summaries struct {
+	Writer *Writer
+	Scope  tally.Scope
+}
 
 // String names the service in logs.
 func (Summaries) String() string { return "summaries of the account" }
@@ -104,12 +108,14 @@
 		}
 		for k, n := range ordinary.take() {
 			klog.InfoS("record: lines left out", "kind", k, "lines", n)
+			s.Scope.Tagged(map[string]string{"kind": string(k)}).Counter("linesLeftOut").Inc(int64(n))
 		}
 		if s.Writer == nil {
 			continue
 		}
 		if n := s.Writer.TakeDropped(); n > 0 {
 			klog.InfoS("record: lines lost for lack of room", "lines", n)
+			s.Scope.Counter("linesLost").Inc(int64(n))
 		}
 	}
 }
--- /dev/null
+++ b/pkg/telemetry/metrics_test.go
@@ -0,0 +1,60 @@
+package telemetry_test
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"laburnumpick.org/pkg/telemetry"
+)
+
+// TestPageOfMetrics holds the operators' page to the table.
+func TestPageOfMetrics(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations/metrics.md")
+	assert.NilError(t, err)
+	golden.Assert(t, telemetry.Page(), "metrics.golden")
+	assert.Assert(t, strings.Contains(string(page), telemetry.Page()), "docs/operations/metrics.md differs from the table")
+}
+
+// TestTableHoldsAllMetrics looks for each metric that the code names, in both
+// ways: with the package for its scope.
+func TestTableHoldsAllMetrics(t *testing.T) {
+	named := regexp.MustCompile(`\.(Counter|Gauge|Histogram)\("(\w+)"`)
+	var used []string
+	err := filepath.WalkDir("..", func(path string, e fs.DirEntry, err error) error {
+		if err != nil || e.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		src, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, m := range named.FindAllStringSubmatch(string(src), -1) {
+			used = append(used, filepath.Base(filepath.Dir(path))+" "+strings.ToLower(m[1])+" "+m[2])
+		}
+		return nil
+	})
+	assert.NilError(t, err)
+	slices.Sort(used)
+	var told []string
+	for _, m := range telemetry.Metrics {
+		told = append(told, m.Scope+" "+string(m.Form)+" "+m.Name)
+	}
+	slices.Sort(told)
+	assert.DeepEqual(t, slices.Compact(used), told)
+}
+
+func TestTagsAreBounded(t *testing.T) {
+	v := telemetry.NewValues(2)
+	for _, n := range []string{"a", "b", "a"} {
+		assert.Equal(t, v.Name(n), n)
+	}
+	assert.Equal(t, v.Name("c"), telemetry.Others)
+}
--- /dev/null
+++ b/pkg/telemetry/values.go
@@ -0,0 +1,33 @@
+package telemetry
+
+import "sync"
+
+// Others is the value that a tag has once it has too many.
+const Others = "others"
+
+// Values bounds the values of a metric's tag: the first ones keep their names.
+type Values struct {
+	most int
+
+	mu    sync.Mutex
+	known map[string]struct{}
+}
+
+// NewValues returns a tag's values, of which so many keep their names.
+func NewValues(most int) *Values {
+	return &Values{most: most, known: make(map[string]struct{})}
+}
+
+// Name returns the value itself, or Others.
+func (v *Values) Name(value string) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if _, ok := v.known[value]; ok {
+		return value
+	}
+	if len(v.known) >= v.most {
+		return Others
+	}
+	v.known[value] = struct{}{}
+	return value
+}
