--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -298,6 +298,8 @@
 		return outcome.New(outcome.DeadlinePassed, "the deadline passed before anything was sent")
 	case t.err.Stage == backend.NotSent:
 		return outcome.New(outcome.NoServer, "server %s: %v", n, t.err)
+	case errors.Is(t.err, context.Canceled):
+		return outcome.New(outcome.CallerLeft, "the caller went away while server %s ran the request", n)
 	case t.err.Stage == backend.Broken:
 		return outcome.New(outcome.AnswerBroken, "server %s: %v", n, t.err)
 	case errors.Is(t.err, context.DeadlineExceeded):
--- a/pkg/home/grant.go
+++ b/pkg/home/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"laburnumpick.org/pkg/outcome"
@@ -258,11 +259,26 @@
 			return
 		}
 		h.learn(now, e, g)
+		was := p.SpellOf(now, g.Server.Name)
 		h.note(now, id, p.Release(now, g, e.Report))
+		tellSpell(p, was, p.SpellOf(now, g.Server.Name), e.Report)
 		h.wake(now, p)
 	})
 }
 
+// tellSpell accounts for what a request's end changed in the belief that its server
+// is in a spell of failures.
+func tellSpell(p *held, was, is pool.Spell, r pool.Report) {
+	switch {
+	case is.Failures > was.Failures:
+		record.Notable("home: server rests", "pool", p.ID(), "server", is.Server, "failures", is.Failures,
+			"rest", is.Rest.Round(time.Millisecond), "end", fmt.Sprintf("%T", r)[len("pool."):])
+	case is.Failures == 0 && was.Failures > 0:
+		record.Notable("home: server is proven again", "pool", p.ID(), "server", is.Server, "failures", was.Failures,
+			"age", was.Age.Round(time.Millisecond))
+	}
+}
+
 // learn notes what a request did to its server.
 func (h *Home) learn(now time.Time, e Ended, g pool.Granted) {
 	switch r := e.Report.(type) {
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -47,6 +47,7 @@
 	CrashedServers  Kind = "crashedServers"
 	DeadlinePassed  Kind = "deadlinePassed"
 	Canceled        Kind = "canceled"
+	CallerLeft      Kind = "callerLeft"
 	InProgress      Kind = "inProgress"
 	Superseded      Kind = "superseded"
 	HopLost         Kind = "hopLost"
@@ -83,6 +84,7 @@
 	CrashedServers:  {Unknown, http.StatusBadGateway, 0, "this request has taken backend servers down; do not repeat it"},
 	DeadlinePassed:  {NotRun, http.StatusServiceUnavailable, time.Second, "try again with a longer deadline"},
 	Canceled:        {NotRun, 499, 0, "the caller went away"},
+	CallerLeft:      {Unknown, http.StatusBadGateway, 0, "the caller went away while a server ran the request"},
 	InProgress:      {Unknown, http.StatusConflict, time.Second, "the first request with this key is still running; ask for its outcome"},
 	Superseded:      {NotRun, http.StatusConflict, time.Second, "try again with the same key"},
 	HopLost:         {Unknown, http.StatusBadGateway, time.Second, "ask for the outcome by the key, or check the effect"},
--- a/pkg/pool/spells.go
+++ b/pkg/pool/spells.go
@@ -24,15 +24,27 @@
 		if !v.changed.After(after) || (after.IsZero() && v.spell == 0) {
 			continue
 		}
-		s := Spell{Server: v.cfg.Name, Failures: v.spell, Rest: max(0, v.till.Sub(now)), Age: now.Sub(v.changed)}
-		if v.spell > 0 {
-			s.Age = now.Sub(v.broke)
-		}
-		out = append(out, s)
+		out = append(out, v.spellAt(now))
 	}
 	return out
 }
 
+// SpellOf returns what is known of one server's failures.
+func (p *Pool) SpellOf(now time.Time, n site.ServerName) Spell {
+	if v, ok := p.servers[n]; ok {
+		return v.spellAt(now)
+	}
+	return Spell{Server: n}
+}
+
+func (v *server) spellAt(now time.Time) Spell {
+	s := Spell{Server: v.cfg.Name, Failures: v.spell, Rest: max(0, v.till.Sub(now)), Age: now.Sub(v.changed)}
+	if v.spell > 0 {
+		s.Age = now.Sub(v.broke)
+	}
+	return s
+}
+
 // Learn takes in what another home of the pool knows, where this one has seen
 // nothing newer itself.
 func (p *Pool) Learn(now time.Time, spells []Spell) {
