--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -53,7 +53,7 @@
 // Result is what became of a job, beside the answer itself.
 type Result struct {
 	Failure *outcome.Failure // Nil where answered.
-	Server  site.ServerName  // The last one tried.
+	Server  site.ServerName  // The one that answered, or else the last one tried.
 	Tries   int
 	Asks    int               // How often a slot was asked for.
 	Failed  []site.ServerName // Servers that the job was sent to in vain.
--- a/pkg/dispatch/race.go
+++ b/pkg/dispatch/race.go
@@ -7,6 +7,7 @@
 
 	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/outcome"
+	"laburnumpick.org/pkg/site"
 )
 
 // race is a repeatable request on its way to one server after the other. A
@@ -22,9 +23,10 @@
 	// hedge fires when the latest server should have answered.
 	hedge <-chan time.Time
 	timer *time.Timer
-	// last is an answer that tells of a failure. It stands if no server does
-	// better.
-	last *backend.Answer
+	// last is an answer that tells of a failure, and who gave it. It stands if no
+	// server does better.
+	last       *backend.Answer
+	lastServer site.ServerName
 }
 
 // mostRunning is how many servers run one request at once.
@@ -116,7 +118,7 @@
 		r.res.Failure = nil
 		return t.answer
 	}
-	r.last = t.answer
+	r.last, r.lastServer = t.answer, t.grant.Server.Name
 	r.res.fail(outcome.New(outcome.AnswerBroken, "server %s answered with status %d", t.grant.Server.Name, t.answer.Status))
 	return nil
 }
@@ -133,7 +135,7 @@
 // end returns what stands where no server is left to try.
 func (r *race) end() *backend.Answer {
 	if r.last != nil {
-		r.res.Failure = nil
+		r.res.Failure, r.res.Server = nil, r.lastServer
 	}
 	return r.last
 }
--- a/pkg/dispatch/run_test.go
+++ b/pkg/dispatch/run_test.go
@@ -13,6 +13,8 @@
 
 	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/outcome"
+	"laburnumpick.org/pkg/pool"
+	"laburnumpick.org/pkg/site"
 )
 
 // TestFailureTellsThatTheCallerLeft has a caller leave while a server works on its
@@ -36,3 +38,20 @@
 	assert.Equal(t, tried.failure().Kind, outcome.CallerLeft)
 	assert.Equal(t, tried.failure().Outcome(), outcome.Unknown)
 }
+
+// TestResultNamesTheServerThatAnswered has one server answer with a failure while
+// another one, which stays silent, is tried as well. The answer that stands is the
+// first one's, and so must be the name in the account.
+func TestResultNamesTheServerThatAnswered(t *testing.T) {
+	tried := func(n site.ServerName) *try {
+		return &try{grant: pool.Granted{Server: site.Server{Name: n}, More: true}}
+	}
+	erring, silent := tried("erring"), tried("silent")
+	erring.answer = &backend.Answer{Status: http.StatusInternalServerError}
+	silent.err = &backend.Error{Stage: backend.Sent}
+	r := &race{res: &Result{}, running: []*try{erring, silent}}
+	assert.Assert(t, r.take(erring) == nil)
+	assert.Assert(t, r.take(silent) == nil)
+	assert.Equal(t, r.end(), erring.answer)
+	assert.Equal(t, r.res.Server, site.ServerName("erring"))
+}
