--- a/pkg/pool/bench_test.go
+++ b/pkg/pool/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumpick.org/pkg/pool"
+	"laburnumpick.org/pkg/site"
 )
 
 // BenchmarkAdmitRelease decides on one request of a service of 20 servers, with
@@ -28,3 +29,57 @@
 		p.Release(now, g, pool.Served{Rule: reads, Took: exponential(rng, 30*time.Millisecond)})
 	}
 }
+
+// BenchmarkSlowNight is a request at a service of 152 servers, of which a third is
+// twelve times slower, so that requests that run once wait for slots.
+func BenchmarkSlowNight(b *testing.B) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	p := withFloor(152, 2, func(n int) int { return (7*n + 9) / 10 })
+	type run struct {
+		g           pool.Granted
+		began, ends time.Time
+	}
+	var running []run
+	now := start
+	begin := func(g pool.Granted) {
+		took := 70*time.Millisecond + exponential(rng, 150*time.Millisecond)
+		if n := g.Server.Name; n[len(n)-1]%3 == 0 {
+			took *= 12
+		}
+		running = append(running, run{g, now, now.Add(took)})
+	}
+	for b.Loop() {
+		now = now.Add(2 * time.Millisecond)
+		left := running[:0]
+		var ended []run
+		for _, r := range running {
+			if now.Before(r.ends) && now.Sub(r.began) < 1500*time.Millisecond {
+				left = append(left, r)
+			} else {
+				ended = append(ended, r)
+			}
+		}
+		running = left
+		for _, r := range ended {
+			if now.Before(r.ends) {
+				p.Release(now, r.g, pool.Dropped{Rule: reads, Took: 1500 * time.Millisecond})
+			} else {
+				p.Release(now, r.g, pool.Served{Rule: reads, Took: r.ends.Sub(r.began)})
+			}
+			for _, w := range p.Wake(now) {
+				if g, ok := w.Decision.(pool.Granted); ok {
+					begin(g)
+				}
+			}
+		}
+		if now.UnixMilli()%50 < 2 {
+			p.Tick(now)
+		}
+		r := aRequest("a")
+		r.Class, r.Deadline = site.AtMostOnce, now.Add(1500*time.Millisecond)
+		if g, ok := p.Admit(now, r).(pool.Granted); ok {
+			begin(g)
+		}
+	}
+	b.ReportMetric(float64(p.Sums(now).Queued), "queued")
+}
--- a/pkg/pool/choose.go
+++ b/pkg/pool/choose.go
@@ -15,8 +15,8 @@
 	by := ranking{
 		now: now, near: r.DataCentre, proves: p.proves(now, r),
 		trouble: p.trouble.is(now) && !r.Suspect, pressed: p.pressed(now),
-		careful: r.Class == site.AtMostOnce && p.usable(now, r),
-		waits:   r.Class == site.AtMostOnce && p.queue.len() < p.proven(now, r)/2,
+		careful: r.Class == site.AtMostOnce && p.usable(now, r), once: r.Class == site.AtMostOnce,
+		waits: r.Class == site.AtMostOnce && p.queue.len() < p.proven(now, r)/2,
 	}
 	for _, v := range p.order {
 		if !v.open(by, lastResort) || slices.Contains(r.Exclude, v.cfg.Name) || (r.Suspect && v.suspect) {
@@ -65,6 +65,7 @@
 	// run it: a refusal is better for its caller than a failure, of which nobody
 	// knows whether it ran.
 	careful bool
+	once    bool // The request may run only once.
 	// waits says that the request may run only once and soon gets a slot of a
 	// server that is proven: it is not used to prove another one.
 	waits bool
@@ -83,7 +84,7 @@
 		return 0
 	case v.unproven(k.now):
 		return 3
-	case v.cold(k.now):
+	case v.cold(k.now), k.once && v.lagging(k.now):
 		return 2
 	default:
 		return 1
--- /dev/null
+++ b/pkg/pool/lag_test.go
@@ -0,0 +1,66 @@
+package pool_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumpick.org/pkg/pool"
+	"laburnumpick.org/pkg/site"
+)
+
+// TestSlowServersGetFewOnceOnlyRequests makes a fifth of the servers ten times
+// slower while half of the slots are in use, as on a day of payments: a payment
+// that runs on one of them misses its deadline, and nobody may send it again.
+func TestSlowServersGetFewOnceOnlyRequests(t *testing.T) {
+	rng := rand.New(rand.NewPCG(21, 22))
+	p := withFloor(24, 2, func(n int) int { return (7*n + 9) / 10 })
+	type run struct {
+		g           pool.Granted
+		began, ends time.Time
+	}
+	const deadline = 1500 * time.Millisecond
+	var running []run
+	sent, missed := 0, 0
+	begin := func(now time.Time, g pool.Granted) {
+		sent++
+		took := exponential(rng, 150*time.Millisecond) + 70*time.Millisecond
+		if n := g.Server.Name; now.Sub(start) > 5*time.Second && (n == "s-2" || n == "s-7" || n == "s-9" || n == "s-14" || n == "s-21") {
+			took *= 10
+		}
+		running = append(running, run{g, now, now.Add(took)})
+	}
+	for ms := 0; ms < 15_000; ms += 10 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		left := running[:0]
+		for _, r := range running {
+			switch {
+			case now.Sub(r.began) >= deadline:
+				missed++
+				p.Release(now, r.g, pool.Dropped{Rule: reads, Took: deadline})
+			case !now.Before(r.ends):
+				p.Release(now, r.g, pool.Served{Rule: reads, Took: r.ends.Sub(r.began)})
+			default:
+				left = append(left, r)
+			}
+		}
+		running = left
+		if ms%50 == 0 {
+			p.Tick(now)
+		}
+		for _, w := range p.Wake(now) {
+			if g, ok := w.Decision.(pool.Granted); ok {
+				begin(now, g)
+			}
+		}
+		r := aRequest("a")
+		r.Class, r.Deadline = site.AtMostOnce, now.Add(deadline)
+		if g, ok := p.Admit(now, r).(pool.Granted); ok {
+			begin(now, g)
+		}
+	}
+	t.Logf("%d of %d missed their deadline", missed, sent)
+	assert.Assert(t, missed <= sent/100, "%d of %d missed their deadline", missed, sent)
+}
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -119,10 +119,12 @@
 
 // outstanding is a grant that has not been released.
 type outstanding struct {
-	grant   Granted
-	holder  *server
-	key     OnceKey   // Of its request.
-	expires time.Time // When its VM is held for lost.
+	grant    Granted
+	holder   *server
+	key      OnceKey // Of its request.
+	rule     site.RuleName
+	since    time.Time
+	deadline time.Time // After grantGrace more its VM is held for lost.
 }
 
 // New returns a pool without servers. Grants of two homes of a pool must not be
@@ -328,7 +330,7 @@
 		More: r.Class == site.Repeatable && (r.Attempts == 0 || r.Sends+1 < r.Attempts) && p.budget.may(now),
 	}
 	g.Patience = p.patience(now, r, trial)
-	p.grants[g.ID] = &outstanding{g, v, r.Key, r.Deadline.Add(grantGrace)}
+	p.grants[g.ID] = &outstanding{g, v, r.Key, r.Rule, now, r.Deadline}
 	return g
 }
 
--- a/pkg/pool/report.go
+++ b/pkg/pool/report.go
@@ -83,8 +83,16 @@
 	if g.Suspect {
 		v.suspect = false
 	}
+	switch r := r.(type) {
+	case Served:
+		p.timed(now, o, r.Took)
+	case Dropped:
+		if r.Took > p.lateAfter(now, o) {
+			v.late(now, g.ID, v.lastGrant)
+		}
+	}
 	before := v.state
-	p.count(now, v, g, r)
+	p.count(now, o, r)
 	p.weigh(now, v, g, r)
 	if v.state == before || p.servers[v.cfg.Name] != v {
 		return nil
@@ -92,20 +100,27 @@
 	return []Event{{v.cfg.Name, before, v.state, v.reason}}
 }
 
+// nearDeadline is how close to its deadline a request has ended that nobody waited
+// for any more because of it. Callers' clocks run a little ahead of the fleet's.
+const nearDeadline = 100 * time.Millisecond
+
 // count notes how a request ended. One that may go to another server has not
 // failed yet.
-func (p *Pool) count(now time.Time, v *server, g Granted, r Report) {
+func (p *Pool) count(now time.Time, o *outstanding, r Report) {
 	switch r.(type) {
 	case Failed:
-		v.failedAt = now
-		if !g.More {
+		o.holder.failedAt = now
+		if !o.grant.More {
 			p.trouble.ended(now, true)
 		}
 	case Unreached, Declined:
-		v.failedAt = now
+		o.holder.failedAt = now
 	case Served:
 		p.trouble.ended(now, false)
 	case Dropped:
+		if !now.Add(nearDeadline).Before(o.deadline) {
+			p.trouble.ended(now, true)
+		}
 	}
 }
 
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -56,6 +56,7 @@
 	departing   bool      // It registered as leaving, or another server has its address.
 	moved       bool      // Another server has its address.
 	rest                  // After a failure.
+	lag                   // After a late answer.
 
 	detector
 	reason    string    // Why it is not healthy.
--- a/pkg/pool/spell_test.go
+++ b/pkg/pool/spell_test.go
@@ -271,6 +271,46 @@
 	}
 }
 
+// TestTroubleCountsWhatMissedItsDeadline is the same with slow servers in place of
+// refusals: callers leave as their deadline passes. What nobody failed counts all the
+// same, since it was not served.
+func TestTroubleCountsWhatMissedItsDeadline(t *testing.T) {
+	p := withFloor(12, 3, func(n int) int { return (7*n + 9) / 10 })
+	once := aRequest("a")
+	once.Class = site.AtMostOnce
+	const timeout = 1500 * time.Millisecond
+	type run struct {
+		g  pool.Granted
+		at time.Time
+	}
+	var slow []run
+	got := map[site.ServerName]time.Time{}
+	for ms := 0; ms < 20_000; ms += 20 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		for len(slow) > 0 && now.Sub(slow[0].at) >= timeout {
+			p.Release(now, slow[0].g, pool.Dropped{Rule: reads, Took: timeout})
+			slow = slow[1:]
+		}
+		once.Deadline = now.Add(timeout)
+		g, ok := p.Admit(now, once).(pool.Granted)
+		assert.Assert(t, ok)
+		n := g.Server.Name
+		got[n] = now
+		switch {
+		case spell(n) && ms < 3000:
+			p.Release(now, g, pool.Failed{Rule: reads, Detail: "reset"})
+		case ms%160 == 0:
+			slow = append(slow, run{g, now})
+		default:
+			p.Release(now, g, pool.Served{Rule: reads, Took: 5 * time.Millisecond})
+		}
+		for i := range 12 {
+			n := site.ServerName(fmt.Sprintf("s-%d", i))
+			assert.Assert(t, ms < 8000 || now.Sub(got[n]) <= 2*time.Second, "%s got nothing for %v", n, now.Sub(got[n]))
+		}
+	}
+}
+
 // TestRestingServersServeBeforeARefusal rests most servers. A repeatable request
 // that would have to wait too long for the others goes to one of them. One that
 // may run once is refused: its caller can come back, while nobody could tell
--- a/pkg/pool/tick.go
+++ b/pkg/pool/tick.go
@@ -9,10 +9,11 @@
 func (p *Pool) Tick(now time.Time) []Event {
 	var events []Event
 	for _, o := range p.grants {
-		if now.After(o.expires) {
+		if now.After(o.deadline.Add(grantGrace)) {
 			events = append(events, p.Release(now, o.grant, Dropped{})...)
 		}
 	}
+	p.overdue(now)
 	patience := trialOverdue
 	if now.Sub(p.repeatableAt) > repeatableMemory {
 		patience = 0
