Heavy pools have their homes on VMs with the processor for them

The asking VMs went to the next in rank for 2 s each, so that three or four homes decided at once, with slots granted twice and the evidence split among them: the losses of a slow night were learned four times over.

Now a pool's slots tell what its home needs (0.0005 cores each, the count rounded up to a power of two so that a joining server seldom moves the role); VMs with less come after all others. Among those that have enough the share of roles stays in proportion to cores, as TestRolesFollowCores holds. Standard sites are unchanged: 36 slots need 0.032 cores.

Ruled out: ranking by a power of the cores (one rule for many small pools and few heavy ones cannot be right: eight large VMs would hold nine tenths of 9,600 roles).

Test: TestHeavyPoolsGoToLargeVMs.

--- a/pkg/dispatch/run_test.go
+++ b/pkg/dispatch/run_test.go
@@ -32,7 +32,7 @@
 		return near, nil
 	})
 	r := &backend.Request{Method: http.MethodGet, URL: &url.URL{Path: "/packs"}, Host: "packshelf", Header: http.Header{}, ID: "1"}
-	_, err := link.Send(ctx, r, backend.Options{}) //nolint:bodyclose // There is no answer.
+	_, err := link.Send(ctx, r, backend.Options{})
 	tried := &try{}
 	assert.Assert(t, errors.As(err, &tried.err))
 	assert.Equal(t, tried.failure().Kind, outcome.CallerLeft)
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -28,6 +28,33 @@
 	standIns    = 3               // VMs that are tried as a pool's home.
 )
 
+// coresPerSlot is the processor that a pool's home needs for each slot of the pool's
+// servers, with room for bursts: a busy slot asks and releases some three times a
+// second (docs/MEASURES.md).
+const coresPerSlot = 0.0005
+
+// ranked returns the VMs for a service's home, the first choice first. The slots
+// count as the next power of two, so that a server that joins seldom moves the role.
+func (n *Node) ranked(svc site.ServiceName) []roster.VM {
+	slots := 1
+	for slots < n.slotsOf(svc) {
+		slots *= 2
+	}
+	return n.View().Homes(string(svc), coresPerSlot*float64(slots))
+}
+
+// slotsOf returns about how many slots the servers of a service have.
+func (n *Node) slotsOf(svc site.ServiceName) int {
+	if listed := n.cfg.Registry.State().Servers(svc); len(listed) > 0 {
+		return len(listed) * listed[0].Server.Slots
+	}
+	s := n.cfg.Replica.State().Directory.Service(svc)
+	if s == nil || len(s.Servers) == 0 {
+		return 0
+	}
+	return len(s.Servers) * s.Servers[0].Slots
+}
+
 // homes returns the VMs to ask as a pool's home, the first choice first. One
 // that failed lately is left out, and this VM comes last: it can always decide
 // for itself.
@@ -35,7 +62,7 @@
 	if n.cfg.Alone {
 		return []roster.VM{n.cfg.Self}
 	}
-	ranked := n.View().Homes(string(svc))
+	ranked := n.ranked(svc)
 	vms := make([]roster.VM, 0, standIns+1)
 	for _, vm := range ranked {
 		if len(vms) < standIns && !n.gray.Has(now, vm.Name) {
--- a/pkg/fleet/ping.go
+++ b/pkg/fleet/ping.go
@@ -213,7 +213,7 @@
 func (n *Node) SpreadLoss(ctx context.Context, l quarantine.Loss) {
 	n.Spread(&fleetapi.Rumor{Body: &fleetapi.Rumor_Loss{Loss: fleetapi.FromLoss(l)}})
 	var wg sync.WaitGroup
-	for _, vm := range n.View().Homes(string(l.Service)) {
+	for _, vm := range n.ranked(l.Service) {
 		if vm.Name == n.cfg.Self.Name {
 			continue
 		}
--- a/pkg/fleet/share.go
+++ b/pkg/fleet/share.go
@@ -17,7 +17,7 @@
 	if n.cfg.Alone {
 		return ""
 	}
-	for _, vm := range n.View().Homes(string(svc)) {
+	for _, vm := range n.ranked(svc) {
 		if vm.Name != n.cfg.Self.Name {
 			return string(vm.Name)
 		}
@@ -28,7 +28,7 @@
 // Share tells a VM which servers of a service fail. What gets lost is learned anew
 // from requests.
 func (n *Node) Share(svc site.ServiceName, to string, spells []pool.Spell) {
-	for _, vm := range n.View().Homes(string(svc)) {
+	for _, vm := range n.ranked(svc) {
 		if vm.Name == roster.VMName(to) {
 			n.share(vm, fleetapi.FromSpells(svc, spells))
 		}
--- a/pkg/roster/bench_test.go
+++ b/pkg/roster/bench_test.go
@@ -60,7 +60,7 @@
 				u := roster.Update{VM: aVM(i), Incarnation: 1, Status: roster.Alive}
 				r.Heard(start.Add(time.Second), u, nil)
 				for p := range 40 {
-					r.View().Homes(fmt.Sprintf("service-%d", p))
+					r.View().Homes(fmt.Sprintf("service-%d", p), 0)
 				}
 			}
 		})
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -27,6 +27,14 @@
 	Cores      float64 // Processor that the VM has, by which it gets roles; 0 for one core.
 }
 
+// cores is the processor that the VM has, for its share of roles.
+func (vm *VM) cores() float64 {
+	if vm.Cores <= 0 {
+		return 1
+	}
+	return vm.Cores
+}
+
 // Status is what is known of a member.
 type Status string
 
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -213,13 +213,13 @@
 	moved := 0
 	for i := range 500 {
 		pool := fmt.Sprintf("service-%d", i)
-		was, is := before.Homes(pool), after.Homes(pool)
+		was, is := before.Homes(pool, 0), after.Homes(pool, 0)
 		if was[0].Name != is[0].Name {
 			assert.Equal(t, was[0].Name, roster.VMName("vm-9"))
 			assert.Equal(t, was[1].Name, is[0].Name, "the next in order takes over")
 			moved++
 		}
-		assert.Equal(t, g.rosters[1].View().Homes(pool)[0].Name, is[0].Name, "all compute alike")
+		assert.Equal(t, g.rosters[1].View().Homes(pool, 0)[0].Name, is[0].Name, "all compute alike")
 	}
 	// Each of 24 VMs is home of a 24th of 500 pools: 21 of them, and by chance
 	// between 8 and 36 (three standard deviations of 4.5).
@@ -240,10 +240,29 @@
 	large := 0
 	const pools = 2000
 	for i := range pools {
-		if v.Homes(fmt.Sprintf("service-%d", i))[0].Cores == 0.8 {
+		if v.Homes(fmt.Sprintf("service-%d", i), 0)[0].Cores == 0.8 {
 			large++
 		}
 	}
 	// 8 of 10 cores are in the large VMs; three standard deviations are 54.
 	assert.Assert(t, large > pools*8/10-54 && large < pools*8/10+54, "%d of %d", large, pools)
 }
+
+// TestHeavyPoolsGoToLargeVMs gives a pool that needs a quarter of a core a home in a
+// fleet of many small VMs and few large ones. Small VMs stand in only where no
+// large one is left.
+func TestHeavyPoolsGoToLargeVMs(t *testing.T) {
+	var vms []roster.VM
+	for i := range 40 {
+		vm := roster.VM{Name: roster.VMName(fmt.Sprintf("vm-%02d", i)), Cores: 0.16}
+		if i%20 == 0 {
+			vm.Cores = 0.8
+		}
+		vms = append(vms, vm)
+	}
+	v := roster.NewView(vms)
+	for i := range 100 {
+		homes := v.Homes(fmt.Sprintf("service-%d", i), 0.25)
+		assert.Assert(t, homes[0].Cores == 0.8 && homes[1].Cores == 0.8 && homes[2].Cores == 0.16)
+	}
+}
--- a/pkg/roster/view.go
+++ b/pkg/roster/view.go
@@ -14,7 +14,13 @@
 type View struct {
 	vms   []VM
 	mu    sync.Mutex
-	cache map[string][]VM
+	cache map[role][]VM
+}
+
+// role is something that one VM does for the site.
+type role struct {
+	name  string
+	least float64 // Cores that a VM should have for it.
 }
 
 // ranked is how many VMs of a role's order are kept: the holder, then those
@@ -23,18 +29,19 @@
 
 // NewView returns a view of VMs in order of names.
 func NewView(vms []VM) *View {
-	return &View{vms: vms, cache: make(map[string][]VM)}
+	return &View{vms: vms, cache: make(map[role][]VM)}
 }
 
 // VMs returns all VMs of the view in order of names.
 func (v *View) VMs() []VM { return v.vms }
 
-// Homes returns the VMs for a pool's home, the first choice first.
-func (v *View) Homes(pool string) []VM { return v.rank("pool/" + pool) }
+// Homes returns the VMs for a pool's home, the first choice first. VMs with fewer
+// cores than the pool needs come after all others.
+func (v *View) Homes(pool string, least float64) []VM { return v.rank(role{"pool/" + pool, least}) }
 
 // Holds reports whether a VM is among the first n for a role of the whole site.
-func (v *View) Holds(role string, n int, vm VMName) bool {
-	top := v.rank("role/" + role)
+func (v *View) Holds(name string, n int, vm VMName) bool {
+	top := v.rank(role{name: "role/" + name})
 	for i := range min(n, len(top)) {
 		if top[i].Name == vm {
 			return true
@@ -46,40 +53,40 @@
 // rank orders VMs by weighted rendezvous hashing: each role gives each VM a score
 // that grows with its processor, and the highest come first. So a VM gets roles
 // in proportion to its processor, and when one goes, only its roles move.
-func (v *View) rank(role string) []VM {
+func (v *View) rank(r role) []VM {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if vms, ok := v.cache[role]; ok {
+	if vms, ok := v.cache[r]; ok {
 		return vms
 	}
-	vms := rendezvous(role, v.vms)
-	v.cache[role] = vms
+	vms := rendezvous(r, v.vms)
+	v.cache[r] = vms
 	return vms
 }
 
 type scored struct {
 	vm    VM
 	score float64
+	weak  int // One where the VM has too few cores for the role.
 }
 
 // scoreOf is the score of a role for a VM: cores over an exponential draw, whose
 // largest falls to each VM as often as its share of all cores.
 func scoreOf(role string, vm *VM) float64 {
-	cores := vm.Cores
-	if cores <= 0 {
-		cores = 1
-	}
 	h := xxhash.Sum64String(role + "\x00" + string(vm.Name))
 	point := (float64(h>>11) + 0.5) / (1 << 53) // Between 0 and 1, neither included.
-	return cores / -math.Log(point)
+	return vm.cores() / -math.Log(point)
 }
 
-func rendezvous(role string, vms []VM) []VM {
+func rendezvous(r role, vms []VM) []VM {
 	top := make([]scored, 0, ranked+1)
 	for i := range vms {
-		w := scored{vms[i], scoreOf(role, &vms[i])}
+		w := scored{vm: vms[i], score: scoreOf(r.name, &vms[i])}
+		if vms[i].cores() < r.least {
+			w.weak = 1
+		}
 		at, _ := slices.BinarySearchFunc(top, w, func(a, b scored) int {
-			return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.vm.Name, b.vm.Name))
+			return cmp.Or(cmp.Compare(a.weak, b.weak), cmp.Compare(b.score, a.score), cmp.Compare(a.vm.Name, b.vm.Name))
 		})
 		if at >= ranked {
 			continue
--- a/pkg/trial/once_test.go
+++ b/pkg/trial/once_test.go
@@ -209,7 +209,7 @@
 // homeOf returns the VM that a VM takes for the home of a service's pool.
 func homeOf(t *testing.T, f *trial.Fleet, vm *trial.VM, service site.ServiceName) *trial.VM {
 	t.Helper()
-	name := vm.Daemon.View().Homes(string(service))[0].Name
+	name := vm.Daemon.View().Homes(string(service), 0)[0].Name
 	for _, v := range f.VMs {
 		if v.Name == string(name) {
 			return v
