Heartbeats are called heartbeats

Cause: what VMs send each other bore the word of the users' pages, in identifiers, calls, a metric and the docs; the field's word is heartbeat. pkg/fleet/ping.go is heartbeat.go, the calls are Heartbeat and HeartbeatFor, the metric fleet_heartbeats.

Ruled out: keeping the old names of calls for a mixed fleet; no release has them.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -318,7 +318,7 @@
 		ListGap: listGap, ListReaders: listReaders,
 	}
 	if p.Servers != nil {
-		// The list holds entry VMs only, which find each other by pings.
+		// The list holds entry VMs only, which find each other by heartbeats.
 		cfg.ListGap, cfg.ListReaders = quietListGap, 1
 	}
 	return cfg
--- a/pkg/fleet/ping.go
+++ b/pkg/fleet/heartbeat.go
@@ -25,8 +25,8 @@
 	newsGap     = 100 * time.Millisecond // Between two pushes, so that news in a burst goes together.
 )
 
-// servePings pings one VM a period.
-func (n *Node) servePings(ctx context.Context) error {
+// serveHeartbeats sends one VM a heartbeat each period.
+func (n *Node) serveHeartbeats(ctx context.Context) error {
 	t := control.NewTicker(roster.Period)
 	defer t.Stop()
 	for {
@@ -44,9 +44,9 @@
 	}
 }
 
-// probe pings a VM, through others if it does not answer.
+// probe sends a VM a heartbeat, through others if it does not answer.
 func (n *Node) probe(ctx context.Context, vm roster.VM) {
-	if n.ping(ctx, vm, roster.PingTimeout) == nil || n.pingThroughOthers(ctx, vm) {
+	if n.heartbeat(ctx, vm, roster.HeartbeatTimeout) == nil || n.heartbeatThroughOthers(ctx, vm) {
 		return
 	}
 	n.loop.Do(ctx, func(now time.Time) {
@@ -55,11 +55,11 @@
 	})
 }
 
-// ping sends one ping and takes in what the answer carries.
-func (n *Node) ping(ctx context.Context, vm roster.VM, d time.Duration) error {
+// heartbeat sends one heartbeat and takes in what the answer carries.
+func (n *Node) heartbeat(ctx context.Context, vm roster.VM, d time.Duration) error {
 	ctx, cancel := context.WithTimeout(n.withToken(ctx), d)
 	defer cancel()
-	req := &fleetapi.PingRequest{
+	req := &fleetapi.HeartbeatRequest{
 		To: string(vm.Name), CatalogVersion: int64(n.cfg.Replica.State().Version),
 		RegistryRevision: int64(n.cfg.Registry.State().Revision),
 	}
@@ -71,8 +71,8 @@
 	}) {
 		return ctx.Err()
 	}
-	n.cfg.Scope.Counter("pings").Inc(1)
-	a, err := n.client(vm.Address).Ping(ctx, req)
+	n.cfg.Scope.Counter("heartbeats").Inc(1)
+	a, err := n.client(vm.Address).Heartbeat(ctx, req)
 	if err != nil {
 		return err
 	}
@@ -160,7 +160,7 @@
 	var wg sync.WaitGroup
 	for _, vm := range vms {
 		wg.Go(func() {
-			if err := n.ping(ctx, vm, roster.HelpTimeout); err != nil {
+			if err := n.heartbeat(ctx, vm, roster.HelpTimeout); err != nil {
 				klog.V(2).InfoS("fleet: news not delivered", "vm", vm.Name, "err", err)
 			}
 		})
@@ -168,8 +168,8 @@
 	wg.Wait()
 }
 
-// pingThroughOthers asks other VMs to ping one that does not answer.
-func (n *Node) pingThroughOthers(ctx context.Context, vm roster.VM) bool {
+// heartbeatThroughOthers asks other VMs to send one to a VM that does not answer.
+func (n *Node) heartbeatThroughOthers(ctx context.Context, vm roster.VM) bool {
 	ctx, cancel := context.WithTimeout(n.withToken(ctx), roster.HelpTimeout)
 	defer cancel()
 	var vms []roster.VM
@@ -177,7 +177,7 @@
 	reached := make(chan bool, len(vms))
 	for _, helper := range vms {
 		go func() {
-			a, err := n.client(helper.Address).PingFor(ctx, &fleetapi.PingForRequest{
+			a, err := n.client(helper.Address).HeartbeatFor(ctx, &fleetapi.HeartbeatForRequest{
 				Name: string(vm.Name), Address: vm.Address,
 			})
 			reached <- err == nil && a.GetReached()
@@ -218,7 +218,7 @@
 			continue
 		}
 		wg.Go(func() {
-			if err := n.ping(ctx, vm, roster.PingTimeout); err != nil {
+			if err := n.heartbeat(ctx, vm, roster.HeartbeatTimeout); err != nil {
 				klog.V(1).InfoS("fleet: loss not told", "vm", vm.Name, "err", err)
 			}
 		})
--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -108,7 +108,7 @@
 func (n *Node) Services() []suture.Service {
 	return []suture.Service{
 		n.loop,
-		&service{"pings", n.servePings},
+		&service{"heartbeats", n.serveHeartbeats},
 		&service{"news", n.serveNews},
 		&service{"catalog fetches", n.serveSync},
 		&service{"reads of the platform's tables", n.serveLevel},
--- a/pkg/fleet/rumors.go
+++ b/pkg/fleet/rumors.go
@@ -8,7 +8,7 @@
 
 // Bounds of the facts that are spread.
 const (
-	rumorFresh  = 5 * time.Second // A fact rides on each ping for so long.
+	rumorFresh  = 5 * time.Second // A fact rides on each heartbeat for so long.
 	rumorMemory = time.Minute     // A fact is known again for so long.
 	maxRumors   = 1024
 	maxRiding   = 16 // Facts on one message.
--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -23,14 +23,14 @@
 // Server returns what other VMs may ask.
 func (n *Node) Server() fleetapi.Fleet { return server{n} }
 
-// Ping implements fleetapi.Fleet.
-func (s server) Ping(ctx context.Context, req *fleetapi.PingRequest) (*fleetapi.PingAnswer, error) {
+// Heartbeat implements fleetapi.Fleet.
+func (s server) Heartbeat(ctx context.Context, req *fleetapi.HeartbeatRequest) (*fleetapi.HeartbeatAnswer, error) {
 	n := s.node
 	if req.GetTo() != string(n.cfg.Self.Name) {
 		return nil, twirp.NotFoundError("this is VM " + string(n.cfg.Self.Name))
 	}
 	n.take(ctx, req.GetFrom(), req.GetMembers(), req.GetRumors(), req.GetCatalogVersion(), req.GetRegistryRevision(), false)
-	a := &fleetapi.PingAnswer{
+	a := &fleetapi.HeartbeatAnswer{
 		CatalogVersion: int64(n.cfg.Replica.State().Version), RegistryRevision: int64(n.cfg.Registry.State().Revision),
 	}
 	n.loop.Do(ctx, func(now time.Time) {
@@ -53,12 +53,12 @@
 	return a, nil
 }
 
-// PingFor implements fleetapi.Fleet.
-func (s server) PingFor(ctx context.Context, req *fleetapi.PingForRequest) (*fleetapi.PingForAnswer, error) {
+// HeartbeatFor implements fleetapi.Fleet.
+func (s server) HeartbeatFor(ctx context.Context, req *fleetapi.HeartbeatForRequest) (*fleetapi.HeartbeatForAnswer, error) {
 	n := s.node
 	vm := roster.VM{Name: roster.VMName(req.GetName()), Address: req.GetAddress()}
-	err := n.ping(ctx, vm, roster.PingTimeout)
-	return &fleetapi.PingForAnswer{Reached: err == nil}, nil
+	err := n.heartbeat(ctx, vm, roster.HeartbeatTimeout)
+	return &fleetapi.HeartbeatForAnswer{Reached: err == nil}, nil
 }
 
 // Changes implements fleetapi.Fleet.
--- a/pkg/roster/bench_test.go
+++ b/pkg/roster/bench_test.go
@@ -10,7 +10,7 @@
 	"laburnumpick.org/pkg/roster"
 )
 
-// BenchmarkPeriod does what a VM does in one period: it pings, is pinged, and
+// BenchmarkPeriod does what a VM does in one period: it sends a heartbeat, gets one, and
 // looks at suspicions.
 func BenchmarkPeriod(b *testing.B) {
 	for _, n := range []int{48, 580, 2175, 8700} {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -1,9 +1,9 @@
 // Package roster keeps one VM's view of the site's other entry VMs.
 //
-// The platform's list of VMs lags, so VMs ping each other: each pings one other
-// a period, has others ping it where no answer comes, and suspects it for a
-// while before it holds it for dead. A suspected VM that lives says so with a
-// higher incarnation. The package is pure and takes the present time; one
+// The platform's list of VMs lags, so VMs send each other heartbeats: each period
+// every VM sends one to one other, through others where no answer comes, and
+// suspects it for a while before it holds it for dead. A suspected VM that lives
+// says so with a higher incarnation. The package is pure and takes the present time; one
 // goroutine owns a Roster.
 package roster
 
@@ -61,17 +61,17 @@
 
 // Times and counts of the failure detector.
 const (
-	Period       = 500 * time.Millisecond  // Between two pings of one VM.
-	PingTimeout  = 200 * time.Millisecond  // Wait for a direct answer.
-	HelpTimeout  = 500 * time.Millisecond  // Wait for an indirect one.
-	suspicion    = 1500 * time.Millisecond // A suspect's time to speak up.
-	forgetAfter  = time.Minute             // The dead are remembered for so long.
-	helpers      = 3
-	spreadFactor = 3 // Times log2 of the members that an update is passed on.
-	maxPiggyback = 24
-	minPiggyback = 2 // Old facts fill a message up to here, to mend what was missed.
-	farEvery     = 8 // One ping in so many leaves the data centre.
-	missesAlone  = 3 // Pings missed in a row before a VM doubts itself.
+	Period           = 500 * time.Millisecond  // Between two heartbeats of one VM.
+	HeartbeatTimeout = 200 * time.Millisecond  // Wait for a direct answer.
+	HelpTimeout      = 500 * time.Millisecond  // Wait for an indirect one.
+	suspicion        = 1500 * time.Millisecond // A suspect's time to speak up.
+	forgetAfter      = time.Minute             // The dead are remembered for so long.
+	helpers          = 3
+	spreadFactor     = 3 // Times log2 of the members that an update is passed on.
+	maxPiggyback     = 24
+	minPiggyback     = 2 // Old facts fill a message up to here, to mend what was missed.
+	farEvery         = 8 // One heartbeat in so many leaves the data centre.
+	missesAlone      = 3 // Heartbeats missed in a row before a VM doubts itself.
 )
 
 type member struct {
@@ -85,10 +85,10 @@
 type Roster struct {
 	self    *member
 	members map[VMName]*member
-	order   []VMName // The round of pings.
-	turns   [2]int   // Places in the round, of pings to near and far VMs.
-	round   int      // Counts pings.
-	misses  int      // Pings that nobody answered, in a row.
+	order   []VMName // The round of heartbeats.
+	turns   [2]int   // Places in the round, of heartbeats to near and far VMs.
+	round   int      // Counts heartbeats.
+	misses  int      // Heartbeats that nobody answered, in a row.
 	news    bool
 	changed bool               // The view has to be made anew.
 	due     map[VMName]*member // Facts that are still to be passed on.
@@ -127,7 +127,7 @@
 }
 
 // enlist puts a VM at a random place of the round, so that VMs that start
-// together do not all ping the same one at a time.
+// together do not all speak to the same one at a time.
 func (r *Roster) enlist(n VMName) {
 	r.order = append(r.order, n)
 	i, last := r.rng.IntN(len(r.order)), len(r.order)-1
@@ -146,10 +146,10 @@
 	r.publish()
 }
 
-// Next returns the VM to ping in this period, or false where there is none. Most
-// pings stay in this VM's data centre, since bytes between data centres are dear
+// Next returns the VM that gets a heartbeat in this period, or false where there is none. Most
+// heartbeats stay in this VM's data centre, since bytes between data centres are dear
 // and VMs fail one by one. While no VM of another one is known, as after a start of
-// all, each second ping looks for one.
+// all, each second heartbeat looks for one.
 func (r *Roster) Next() (VM, bool) {
 	r.round++
 	far := r.round%farEvery == 0 || (r.onlyNear() && r.round%2 == 1)
@@ -175,7 +175,7 @@
 	return out
 }
 
-// next goes on in the round of pings to the next VM that is far or near.
+// next goes on in the round of heartbeats to the next VM that is far or near.
 func (r *Roster) next(far bool) (VM, bool) {
 	turn := &r.turns[0]
 	if far {
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -19,7 +19,7 @@
 	return roster.VM{Name: roster.VMName(n), Address: n + ":81", DataCentre: site.DataCentre(fmt.Sprintf("dc-%d", i%3))}
 }
 
-// group is VMs that ping each other as their rosters say. cut tells whether a
+// group is VMs that send each other heartbeats as their rosters say. cut tells whether a
 // message is lost on its way.
 type group struct {
 	now     time.Time
@@ -55,8 +55,8 @@
 	return !g.dead[a] && !g.dead[b] && !g.cut(a, b) && !g.cut(b, a)
 }
 
-// ping carries one ping and its answer.
-func (g *group) ping(a, b int) bool {
+// heartbeat carries one heartbeat and its answer.
+func (g *group) heartbeat(a, b int) bool {
 	if !g.talks(a, b) {
 		return false
 	}
@@ -82,13 +82,13 @@
 			}
 			r.Tick(g.now)
 			vm, ok := r.Next()
-			if !ok || g.ping(i, g.index(vm)) {
+			if !ok || g.heartbeat(i, g.index(vm)) {
 				continue
 			}
 			helped := false
 			for _, h := range r.Helpers(vm.Name) {
 				k := g.index(h)
-				helped = helped || (g.talks(i, k) && g.ping(k, g.index(vm)))
+				helped = helped || (g.talks(i, k) && g.heartbeat(k, g.index(vm)))
 			}
 			if !helped {
 				r.Missed(g.now, vm.Name)
@@ -105,7 +105,7 @@
 			continue
 		}
 		for _, vm := range r.Pick(3, "") {
-			g.ping(i, g.index(vm))
+			g.heartbeat(i, g.index(vm))
 		}
 	}
 }
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -37,7 +37,7 @@
 	{"fleet", "homesLost", Counter, "", "calls", "Calls to a pool's home that got no answer."},
 	{"fleet", "levelsLost", Counter, "", "calls", "Messages of this VM as reader of the platform's tables that got no answer."},
 	{"fleet", "members", Gauge, "", "VMs", "VMs that can have roles, as this one knows."},
-	{"fleet", "pings", Counter, "", "calls", "Heartbeats that this VM sent."},
+	{"fleet", "heartbeats", Counter, "", "calls", "Heartbeats that this VM sent."},
 	{"fleet", "platformAgeSeconds", Gauge, "", "seconds", "Since when this VM has not known the platform's state."},
 	{"fleet", "readsFailed", Counter, "", "calls", "Reads of the platform's tables that failed."},
 	{"fleet", "registryRevision", Gauge, "", "revision", "List of registered servers in force on this VM."},
