--- a/pkg/pool/choose.go
+++ b/pkg/pool/choose.go
@@ -29,8 +29,8 @@
 	return best
 }
 
-// pressed reports whether as many requests wait as the servers that may be used
-// run at once.
+// pressed reports whether more requests wait than the servers that may be used run
+// at once.
 func (p *Pool) pressed(now time.Time) bool { return p.queue.len() > p.slots(now) }
 
 // proven returns how many slots the servers have that are not in a spell and may
