A server that one VM cannot hear is not convicted by that VM's failures

Now the home knows which VM a grant is for. A failure that the same VM sees again, while another VM has got a good answer in between, rests the server but is no evidence against it. A good answer to the VM that saw it fail makes its next failure count again. Also, rests grow only with failures in a row: a good answer between starts them anew.

--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -72,7 +72,7 @@
 func (d *Dispatcher) ask(ctx context.Context, j *Job, res *Result, atOnce bool) (Seat, *pool.Refused) {
 	now := time.Now()
 	a := &home.Ask{
-		RequestID: j.Request.ID, Service: j.Match.Service, DataCentre: d.cfg.DataCentre, Account: j.Account,
+		RequestID: j.Request.ID, Service: j.Match.Service, VM: d.cfg.Holder.VM, DataCentre: d.cfg.DataCentre, Account: j.Account,
 		Class: j.Match.Run, Rule: j.Match.Rule, Priority: j.Match.Priority, Fingerprint: j.Fingerprint,
 		Exclude: append(slices.Clone(res.Failed), d.shun.All(now)...), Known: res.Asks > 0, Sends: res.Tries, Attempts: j.Match.Attempts, AtOnce: atOnce,
 		Key: j.unclaimed(d.cfg.Site, res),
--- a/pkg/home/grant.go
+++ b/pkg/home/grant.go
@@ -27,7 +27,8 @@
 type Ask struct {
 	RequestID   string
 	Service     site.ServiceName
-	DataCentre  site.DataCentre // Of the VM that asks.
+	VM          string          // That asks.
+	DataCentre  site.DataCentre // Of that VM.
 	Account     site.AccountName
 	Class       site.Class
 	Rule        site.RuleName
@@ -49,7 +50,7 @@
 	r := pool.Request{
 		Account: a.Account, Class: a.Class, Rule: a.Rule, DataCentre: a.DataCentre, Priority: a.Priority,
 		Deadline: now.Add(a.Left), Exclude: a.Exclude, Known: a.Known, Sends: a.Sends, Attempts: a.Attempts, Suspect: suspect, AtOnce: a.AtOnce,
-		Key: a.Key,
+		Key: a.Key, VM: a.VM,
 	}
 	if a.TargetLeft != 0 {
 		r.Target = now.Add(a.TargetLeft)
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -26,7 +26,8 @@
 	Account    site.AccountName
 	Class      site.Class
 	Rule       site.RuleName
-	DataCentre site.DataCentre // Of the VM that will send it.
+	VM         string          // That will send it.
+	DataCentre site.DataCentre // Of that VM.
 	Priority   int             // 0 is the most urgent.
 	Deadline   time.Time
 	Target     time.Time         // Until when an answer is in time; zero for no such time.
@@ -123,6 +124,7 @@
 	holder   *server
 	key      OnceKey // Of its request.
 	rule     site.RuleName
+	vm       string
 	since    time.Time
 	deadline time.Time // After grantGrace more its VM is held for lost.
 }
@@ -330,7 +332,7 @@
 		More: r.Class == site.Repeatable && (r.Attempts == 0 || r.Sends+1 < r.Attempts) && p.budget.may(now),
 	}
 	g.Patience = p.patience(now, r, trial)
-	p.grants[g.ID] = &outstanding{g, v, r.Key, r.Rule, now, r.Deadline}
+	p.grants[g.ID] = &outstanding{g, v, r.Key, r.Rule, r.VM, now, r.Deadline}
 	return g
 }
 
--- a/pkg/pool/report.go
+++ b/pkg/pool/report.go
@@ -93,7 +93,7 @@
 	}
 	before := v.state
 	p.count(now, o, r)
-	p.weigh(now, v, g, r)
+	p.weigh(now, v, o, r)
 	if v.state == before || p.servers[v.cfg.Name] != v {
 		return nil
 	}
@@ -125,23 +125,24 @@
 }
 
 // weigh takes a report as evidence.
-func (p *Pool) weigh(now time.Time, v *server, g Granted, r Report) {
+func (p *Pool) weigh(now time.Time, v *server, o *outstanding, r Report) {
 	switch r := r.(type) {
 	case Served:
-		p.served(now, v, g, r)
+		p.served(now, v, o, r)
 	case Failed:
-		p.failed(now, v, g, r)
+		p.failed(now, v, o, r)
 	case Declined:
 		p.declined(now, v, r.Why)
 	case Dropped:
 		p.dropped(now, v, r)
 	case Unreached:
-		p.unreached(now, v, g, r)
+		p.unreached(now, v, o.grant, r)
 	}
 }
 
-func (p *Pool) served(now time.Time, v *server, g Granted, r Served) {
-	v.end(now, g.ID, p.queue.len() > 0)
+func (p *Pool) served(now time.Time, v *server, o *outstanding, r Served) {
+	v.heard(o.vm)
+	v.end(now, o.grant.ID, p.queue.len() > 0)
 	v.servedAt = now
 	ms := milliseconds(r.Took)
 	v.addFailure(false, p.peersFailRate(v))
@@ -154,7 +155,7 @@
 	if v.trusted() {
 		p.meanMs += (ms - p.meanMs) / 32
 	}
-	if g.Trial && !v.trusted() {
+	if o.grant.Trial && !v.trusted() {
 		p.tried(now, v, p.tooSlow(v, r.Rule, r.Took))
 		return
 	}
@@ -166,14 +167,17 @@
 	}
 }
 
-func (p *Pool) failed(now time.Time, v *server, g Granted, r Failed) {
+func (p *Pool) failed(now time.Time, v *server, o *outstanding, r Failed) {
 	// Good servers answer a request with a failure of its own now and then. A
 	// connection that breaks tells of the server.
 	if !r.Answered || v.failRate >= answeredRate {
-		v.begin(now, g.ID, v.lastGrant)
+		v.begin(now, o.grant.ID, v.lastGrant)
+	}
+	if v.lost(o.vm) {
+		return
 	}
 	v.addFailure(true, p.peersFailRate(v))
-	if g.Trial && !v.trusted() {
+	if o.grant.Trial && !v.trusted() {
 		p.tried(now, v, true)
 		return
 	}
--- a/pkg/pool/rest.go
+++ b/pkg/pool/rest.go
@@ -31,7 +31,7 @@
 type rest struct {
 	till  time.Time
 	broke time.Time // When a request last failed.
-	spell int       // Failures since the server was last proven.
+	spell int       // Failures without a good answer between them; zero once proven.
 	good  int       // Good answers since the last failure.
 	// after is the server's last grant when the rest began. How that and earlier
 	// ones end tells nothing of the time since.
@@ -46,10 +46,13 @@
 	if g <= r.after {
 		return // It was under way when the rest began.
 	}
-	r.broke, r.after, r.good = now, last, 0
+	r.broke, r.after = now, last
 	if r.resting(now) {
 		return
 	}
+	if r.good > 0 {
+		r.spell, r.good = 0, 0 // Not in a row.
+	}
 	r.till = now.Add(min(firstRest<<min(r.spell, 8), maxRest))
 	r.spell++
 	r.changed = now
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -58,6 +58,7 @@
 	rest                  // After a failure.
 	lag                   // After a late answer.
 
+	link
 	detector
 	reason    string    // Why it is not healthy.
 	strikes   int       // How often it was doubted lately.
--- a/pkg/pool/spell_test.go
+++ b/pkg/pool/spell_test.go
@@ -434,6 +434,43 @@
 	assert.Equal(t, granted, 2)
 }
 
+// TestServerThatOneVMCannotHearIsNotDoubted loses what a server sends to one of eight
+// VMs. Each of its failures rests the server, but the others are answered: the link is
+// at fault. Where each VM sees it fail as often, it is doubted.
+func TestServerThatOneVMCannotHearIsNotDoubted(t *testing.T) {
+	for _, cut := range []bool{true, false} {
+		t.Run(fmt.Sprint("cut=", cut), func(t *testing.T) {
+			p := withFloor(8, 3, func(n int) int { return (3 * n) / 4 })
+			now := serve(t, p, start, 400, func(site.ServerName) (time.Duration, bool) { return 5 * time.Millisecond, true })
+			r := aRequest("a")
+			for i := 1; i < 8; i++ {
+				r.Exclude = append(r.Exclude, site.ServerName(fmt.Sprintf("s-%d", i)))
+			}
+			end := func(vm string, report pool.Report) {
+				r.VM = vm
+				g, ok := p.Admit(now, r).(pool.Granted)
+				assert.Assert(t, ok, "it rests longer each time")
+				p.Release(now, g, report)
+				now = now.Add(2100 * time.Millisecond)
+			}
+			for i := range 12 {
+				if p.State("s-0") != pool.Healthy {
+					break
+				}
+				vm := "vm-1"
+				if !cut {
+					vm = fmt.Sprintf("vm-%d", i%3)
+				}
+				end(vm, pool.Failed{Rule: reads, Detail: "no answer long after the usual time"})
+				if p.State("s-0") == pool.Healthy {
+					end("vm-5", pool.Served{Rule: reads, Took: 5 * time.Millisecond})
+				}
+			}
+			assert.Equal(t, p.State("s-0") == pool.Healthy, cut)
+		})
+	}
+}
+
 // TestStandInKnowsWhatFails lets the home of a pool go. The next one must not
 // learn anew, by requests that run once, which servers are in a spell.
 func TestStandInKnowsWhatFails(t *testing.T) {
