--- a/cmd/laburnumbench/soak/soak.go
+++ b/cmd/laburnumbench/soak/soak.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -54,6 +55,7 @@
 	vms     []*vm
 	links   []*link // To the servers, by their place.
 	servers []*standin.Server
+	ending  [2 * serversEach]atomic.Bool // By place: its server ends, and another one comes.
 	version int
 	started int // Servers so far, for their names.
 	failed  []error
@@ -285,17 +287,22 @@
 
 // serverEnds lets a server crash, or leave, and another come in its place.
 func (s *soak) serverEnds(e Event, place int) func() error {
+	if s.ending[place].Swap(true) {
+		return func() error { return nil } // An earlier event ends it.
+	}
 	srv, k := s.servers[place], s.links[place]
 	if e.Kind == ServerCrash {
 		srv.Close(true)
 		k.close()
 		return func() error {
+			defer s.ending[place].Store(false)
 			s.store.Drop("servers", srv.Name)
 			return s.startServer(place)
 		}
 	}
 	srv.Drain()
 	return func() error {
+		defer s.ending[place].Store(false)
 		time.Sleep(drainTime)
 		srv.Close(false)
 		k.close()
