--- a/pkg/pool/spell_test.go
+++ b/pkg/pool/spell_test.go
@@ -37,15 +37,15 @@
 	assert.Assert(t, failed <= sent/25, "%d of %d failed", failed, sent)
 }
 
-// TestAnswerFromBeforeTheFailureEndsNoRest lets a server that runs two requests
-// break the second one's connection at once, as in the first moment of a spell.
-// The first one, which came before, is answered later.
+// TestAnswerFromBeforeTheFailureEndsNoRest lets a server that runs three requests
+// break the last one's connection at once, as in the first moment of a spell. The
+// first two, which came before, are answered later.
 func TestAnswerFromBeforeTheFailureEndsNoRest(t *testing.T) {
 	p := withPool(2, 3)
 	once := aRequest("a")
 	once.Class = site.AtMostOnce
 	var early []pool.Granted
-	for range 2 {
+	for range 4 {
 		early = append(early, admit(t, p, start, once))
 	}
 	now := start.Add(100 * time.Millisecond)
