A service's slots are counted once a ranking; tests of spells told apart

Found on reading the change: Node.ranked, which each request asks, looked up the service's slots anew in each step of its loop, up to nine times. It looks once; the order of VMs is the same.

--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -36,11 +36,11 @@
 // ranked returns the VMs for a service's home, the first choice first. The slots
 // count as the next power of two, so that a server that joins seldom moves the role.
 func (n *Node) ranked(svc site.ServiceName) []roster.VM {
-	slots := 1
-	for slots < n.slotsOf(svc) {
-		slots *= 2
+	slots, counted := n.slotsOf(svc), 1
+	for counted < slots {
+		counted *= 2
 	}
-	return n.View().Homes(string(svc), coresPerSlot*float64(slots))
+	return n.View().Homes(string(svc), coresPerSlot*float64(counted))
 }
 
 // slotsOf returns about how many slots the servers of a service have.
--- /dev/null
+++ b/pkg/pool/spells_test.go
@@ -0,0 +1,56 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumpick.org/pkg/pool"
+	"laburnumpick.org/pkg/site"
+)
+
+// TestStandInKnowsWhatFails lets the home of a pool go. The next one must not
+// learn anew, by requests that run once, which servers are in a spell.
+func TestStandInKnowsWhatFails(t *testing.T) {
+	home, next := withPool(4, 1), withPool(4, 1)
+	once := aRequest("a")
+	once.Class = site.AtMostOnce
+	var bad []site.ServerName
+	for range 2 {
+		g := admit(t, home, start, once)
+		bad = append(bad, g.Server.Name)
+		home.Release(start, g, pool.Failed{Rule: reads, Detail: "reset"})
+	}
+	now := start.Add(500 * time.Millisecond)
+	next.Learn(now, home.Spells(now, time.Time{}))
+	for range 2 {
+		n := admit(t, next, now, once).Server.Name
+		assert.Assert(t, n != bad[0] && n != bad[1], "%s is in a spell", n)
+	}
+	_, waits := next.Admit(now, once).(pool.Waiting)
+	assert.Assert(t, waits)
+	assert.Equal(t, len(home.Spells(now, now)), 0, "nothing has changed since")
+
+	now = start.Add(2100 * time.Millisecond)
+	for range 4 {
+		g := admit(t, home, now, aRequest("a"))
+		home.Release(now, g, pool.Served{Rule: reads, Took: 5 * time.Millisecond})
+	}
+	next.Learn(now, home.Spells(now, start))
+	assert.Equal(t, next.Sums(now).Usable, 4)
+}
+
+// TestStandInBelievesItsOwnEyes tells a home of a failure that is older than an
+// answer that it has got itself from the server.
+func TestStandInBelievesItsOwnEyes(t *testing.T) {
+	p := withPool(1, 1)
+	now := start.Add(time.Second)
+	p.Release(now, admit(t, p, now, aRequest("a")), pool.Served{Rule: reads, Took: 5 * time.Millisecond})
+	p.Learn(now, []pool.Spell{{Server: "s-0", Failures: 1, Rest: time.Second, Age: 100 * time.Millisecond}})
+	assert.Equal(t, p.Sums(now).Usable, 1)
+	p.Learn(now, []pool.Spell{{Server: "s-0", Failures: 1, Rest: time.Second}})
+	assert.Equal(t, p.Sums(now).Usable, 0)
+	p.Learn(now.Add(time.Second), []pool.Spell{{Server: "s-0", Age: 2 * time.Second}})
+	assert.Equal(t, p.Sums(now).Usable, 0)
+}
