home: report servers that get no requests, with the reason

The logs could not tell why a sound server was idle: grants are sampled, and nothing counted idle servers. Now a line a server and idle period after two seconds without a request (reason, data centre, time since its last failure), and the gauge home_idleServers by reason. Nothing that decides has changed.

Price in lines: at most one for each server in two seconds, from the homes only.

--- a/pkg/home/home.go
+++ b/pkg/home/home.go
@@ -111,6 +111,7 @@
 		h.dispatchQueue(now, p)
 		h.carryOutIntents(now, p)
 		h.shareFailureStreaks(now, p)
+		h.logIdleServers(now, p)
 	}
 	if now.Sub(h.gaugesUpdated) >= gaugeInterval {
 		h.gaugesUpdated = now
@@ -133,6 +134,7 @@
 		scope.Gauge("usableServers").Update(float64(s.Usable))
 		scope.Gauge("retries").Update(float64(s.Retries))
 		scope.Gauge("retryBudget").Update(float64(s.RetryBudget))
+		updateIdleGauges(scope, p.IdleServers(now))
 	}
 }
 
--- a/pkg/pool/degradation.go
+++ b/pkg/pool/degradation.go
@@ -45,7 +45,7 @@
 // withoutTraffic reports whether the server has been without traffic for so long
 // that it must get a request while the service is degraded.
 func (v *server) withoutTraffic(now time.Time) bool {
-	if !v.trusted() && v.state != Suspected && v.state != Ejected {
+	if !v.inService() {
 		return false
 	}
 	since := v.grantedAt
--- /dev/null
+++ b/pkg/pool/idle.go
@@ -0,0 +1,99 @@
+package pool
+
+import (
+	"time"
+
+	"laburnumpick.org/pkg/site"
+)
+
+// idleAfter is how long a server must have got no requests to count as idle.
+const idleAfter = 2 * time.Second
+
+// IdleReason is why a server that could be used gets no requests.
+type IdleReason string
+
+// Reasons of idle servers.
+const (
+	IdleBusy       IdleReason = "busy"       // Its open slots are in use.
+	IdlePaused     IdleReason = "paused"     // It shed a request, or declined one as cold.
+	IdleProbation  IdleReason = "probation"  // It is suspected or ejected.
+	IdleBackOff    IdleReason = "backOff"    // It is in back-off after a failure.
+	IdleRecovering IdleReason = "recovering" // Its back-off is over, but its failure streak is not.
+	IdleSlow       IdleReason = "slow"       // It is in a slow period, or slow after its start.
+	IdleUnchosen   IdleReason = "unchosen"   // Nothing is held against it; other servers were preferred.
+)
+
+// IdleReasons lists all reasons.
+var IdleReasons = []IdleReason{IdleBusy, IdlePaused, IdleProbation, IdleBackOff, IdleRecovering, IdleSlow, IdleUnchosen}
+
+// IdleServer is a server that could be used and gets no requests.
+type IdleServer struct {
+	Server    site.Server
+	State     State
+	Reason    IdleReason
+	Idle      time.Duration // Since its last request.
+	FailedAgo time.Duration // Since its last failure; zero if it has not failed.
+}
+
+// IdleServers returns the servers that are idle.
+func (p *Pool) IdleServers(now time.Time) []IdleServer {
+	var out []IdleServer
+	for _, v := range p.order {
+		if v.isIdle(now) {
+			out = append(out, v.idleServer(now))
+		}
+	}
+	return out
+}
+
+// NewlyIdleServers returns the idle servers that have not been returned since their
+// last request.
+func (p *Pool) NewlyIdleServers(now time.Time) []IdleServer {
+	var out []IdleServer
+	for _, v := range p.order {
+		if v.isIdle(now) && v.idleReported != v.lastGrant {
+			v.idleReported = v.lastGrant
+			out = append(out, v.idleServer(now))
+		}
+	}
+	return out
+}
+
+// inService reports whether the server can be used, now or after probation.
+func (v *server) inService() bool {
+	return v.trusted() || v.state == Suspected || v.state == Ejected
+}
+
+// isIdle reports whether the server could be used and has got no requests for
+// idleAfter.
+func (v *server) isIdle(now time.Time) bool {
+	return v.inService() && now.Sub(v.grantedAt) > idleAfter
+}
+
+func (v *server) idleServer(now time.Time) IdleServer {
+	s := IdleServer{Server: v.cfg, State: v.state, Reason: v.idleReason(now), Idle: now.Sub(v.grantedAt)}
+	if !v.failedAt.IsZero() {
+		s.FailedAgo = now.Sub(v.failedAt)
+	}
+	return s
+}
+
+// idleReason returns what keeps requests away from the server.
+func (v *server) idleReason(now time.Time) IdleReason {
+	switch {
+	case v.inUse >= v.openSlots:
+		return IdleBusy
+	case v.pausedUntil.After(now):
+		return IdlePaused
+	case !v.trusted():
+		return IdleProbation
+	case v.inBackOff(now):
+		return IdleBackOff
+	case v.recovering(now):
+		return IdleRecovering
+	case v.isSlow(now) || v.cold(now):
+		return IdleSlow
+	default:
+		return IdleUnchosen
+	}
+}
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -68,10 +68,13 @@
 	probing     bool      // A probe or a connection check is in progress.
 	stateCount  int       // Good probes, good responses while warming, or failed connection checks while down.
 	lastIntent  time.Time // When an Eject, RecordLeaving or Restore was last requested.
+	// idleReported is the latest grant at the time when the server was last reported
+	// as idle.
+	idleReported GrantID
 }
 
 func newServer(now time.Time, cfg site.Server) *server {
-	return &server{cfg: cfg, state: Healthy, since: now, grantedAt: now, openSlots: cfg.Slots, detector: newDetector()}
+	return &server{cfg: cfg, state: Healthy, since: now, grantedAt: now, idleReported: -1, openSlots: cfg.Slots, detector: newDetector()}
 }
 
 // trusted reports whether requests of all classes may go to the server.
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -45,6 +45,7 @@
 	{"fleet", "sharesLost", Counter, "", "calls", "Messages about failing servers to the pool's standby VM that got no response."},
 	{"home", "ejectionsRefused", Counter, "", "ejections", "Ejections of servers that the floor prevented."},
 	{"home", "grants", Counter, "", "decisions", "Slots that this VM granted as home."},
+	{"home", "idleServers", Gauge, "pool, reason", "servers", "Servers that could be used and have got no request for over two seconds, by reason: busy, paused, probation, backOff, recovering, slow, unchosen."},
 	{"home", "queued", Gauge, "pool", "requests", "Requests that wait in the queue for a slot."},
 	{"home", "refusals", Counter, "kind", "decisions", "Requests that this VM refused as home."},
 	{"home", "retries", Gauge, "pool", "sendings", "Attempts beyond each request's first in the retry budget's window."},
