--- a/pkg/pool/dispatch.go
+++ b/pkg/pool/dispatch.go
@@ -39,8 +39,9 @@
 // ones and ones in back-off.
 func (p *Pool) freeSlots(now time.Time) int {
 	n := 0
+	k := ranking{now: now, overloaded: p.overloaded(now)}
 	for _, v := range p.order {
-		if v.hasFreeSlot(ranking{now: now, overloaded: p.overloaded(now)}, true) {
+		if v.hasFreeSlot(k, true) {
 			n += v.capacity(now) - v.inUse
 		}
 	}
