pool: bound the idleness of every server at all times

Cause: a server that fails is left out for 2 to 8 s (back-off) and then, for up to 30 s, gets at-most-once requests only if no proven server has a free slot. A service without repeatable requests never tests it. Only a degraded service gave each server a request within 1.2 s, and a service is degraded only after failures have been counted; a sudden loss is counted when it is over.

Now a server that had no request for 1.2 s (1.4 s for at-most-once requests) and no failure for 2.4 s more gets the next request, always. The counting of degradation is removed: it is no longer needed. A server that proved very slow (twice the 95th percentile) is left out 4 s longer, and a standby takes over the time of the last failure with the failure streak.

Two tests let the servers that had not failed rest for over two seconds; they now get a request in between, so that what the tests check is unchanged.

--- a/pkg/pool/backoff_test.go
+++ b/pkg/pool/backoff_test.go
@@ -100,8 +100,9 @@
 	once.Class = site.AtMostOnce
 	broken := admit(t, p, start, once)
 	p.Release(start, broken, pool.Failed{Rule: reads, Detail: "reset"})
-	now := start.Add(2100 * time.Millisecond)
 	good := pool.Served{Rule: reads, Took: 5 * time.Millisecond}
+	serveOthers(t, p, start.Add(1900*time.Millisecond), once, good, broken.Server.Name)
+	now := start.Add(2100 * time.Millisecond)
 	for range 2 {
 		g := admit(t, p, now, aRequest("a"))
 		assert.Equal(t, g.Server.Name, broken.Server.Name)
@@ -124,6 +125,15 @@
 	assert.Equal(t, again, 2)
 }
 
+// serveOthers sends a request to the server that has gone longest without one, so
+// that it is not idle. It must not be the given server.
+func serveOthers(t *testing.T, p *pool.Pool, now time.Time, r pool.Request, served pool.Served, not site.ServerName) {
+	t.Helper()
+	g := admit(t, p, now, r)
+	assert.Assert(t, g.Server.Name != not)
+	p.Release(now, g, served)
+}
+
 // failing reports whether a server of the test has a failure streak.
 func failing(n site.ServerName) bool { return n == "s-1" || n == "s-10" || n == "s-11" || n == "s-3" }
 
--- a/pkg/pool/choose.go
+++ b/pkg/pool/choose.go
@@ -14,7 +14,7 @@
 	var best *server
 	k := ranking{
 		now: now, dataCentre: r.DataCentre, probesRecovery: p.canProbeRecovery(now, r),
-		degraded: p.degradation.isDegraded(now) && !r.Suspect, overloaded: p.overloaded(now),
+		testsIdle: !r.Suspect, overloaded: p.overloaded(now),
 		avoidsUnknownOutcome: r.Class == site.AtMostOnce && p.hasUsableServer(now, r), atMostOnce: r.Class == site.AtMostOnce,
 		waitsForRecovered: r.Class == site.AtMostOnce && p.queue.len() < p.recoveredSlots(now, r)/2,
 	}
@@ -57,9 +57,9 @@
 	now            time.Time
 	dataCentre     site.DataCentre
 	probesRecovery bool // The request may test a server after its back-off.
-	// degraded means that many of the service's requests fail, so that servers without
-	// traffic get requests first.
-	degraded bool
+	// testsIdle means that the request may go to a server that must get one after a
+	// time without requests.
+	testsIdle bool
 	// overloaded means that more requests are queued than the usable servers can run
 	// at once.
 	overloaded bool
@@ -77,7 +77,7 @@
 // tier returns the server's preference tier; lower is better.
 func (k ranking) tier(v *server) int {
 	switch {
-	case k.degraded && v.withoutTraffic(k.now):
+	case k.testsIdle && v.needsRequest(k.now, k.atMostOnce):
 		return 0
 	case !v.trusted():
 		return 5
--- a/pkg/pool/idle.go
+++ b/pkg/pool/idle.go
@@ -6,8 +6,22 @@
 	"laburnumpick.org/pkg/site"
 )
 
-// idleAfter is how long a server must have got no requests to count as idle.
-const idleAfter = 2 * time.Second
+// Limits of the time without requests. A home cannot tell whether a server that it
+// leaves out would serve again. If it left out many servers until it had proof, and the
+// others were lost, a service would be down although it has sound servers.
+const (
+	// maxIdle is how long a server that could be used goes without requests.
+	maxIdle = 1200 * time.Millisecond
+	// maxIdleAtMostOnce is the limit for at-most-once requests, so that repeatable
+	// ones, if there are any, test the server first.
+	maxIdleAtMostOnce = 1400 * time.Millisecond
+	// failureExclusion is how long after a failure the time without requests begins.
+	failureExclusion = 2400 * time.Millisecond
+	// slowExclusion is how long after a response that is very slow it begins.
+	slowExclusion = 4 * time.Second
+	// idleAfter is how long a server must have got no requests to be reported as idle.
+	idleAfter = 2 * time.Second
+)
 
 // IdleReason is why a server that could be used gets no requests.
 type IdleReason string
@@ -59,6 +73,21 @@
 	return out
 }
 
+// needsRequest reports whether the server has been without requests for so long that
+// it must get the next one, whatever is held against it.
+func (v *server) needsRequest(now time.Time, atMostOnce bool) bool {
+	if v.inUse >= v.openSlots || (!v.trusted() && v.state != Suspected) {
+		return false
+	}
+	limit := maxIdle
+	if atMostOnce {
+		limit = maxIdleAtMostOnce
+	}
+	return now.Sub(v.grantedAt) > limit &&
+		now.Sub(v.failedAt) > failureExclusion+limit &&
+		now.Sub(v.verySlowAt) > slowExclusion+limit
+}
+
 // inService reports whether the server can be used, now or after probation.
 func (v *server) inService() bool {
 	return v.trusted() || v.state == Suspected || v.state == Ejected
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -127,7 +127,6 @@
 	// lastRepeatable is when the last repeatable request came.
 	lastRepeatable time.Time
 	lastSweep      time.Time // When the queue was last swept for requests that cannot be served in time.
-	degradation    degradation
 }
 
 // outstanding is a grant that has not been released.
@@ -139,6 +138,7 @@
 	vm        string
 	grantedAt time.Time
 	deadline  time.Time // Of the request. After grantGrace more the VM counts as lost.
+	verySlow  bool      // The response is overdue by more than chance explains.
 }
 
 // New returns a pool without servers. Grant IDs begin at the current time, so that
@@ -146,14 +146,13 @@
 func New(now time.Time, id ID, set Settings) *Pool {
 	return &Pool{
 		id: id, settings: set,
-		servers:     make(map[site.ServerName]*server),
-		queue:       newQueue(),
-		budget:      newBudget(now, set.Retry),
-		degradation: newDegradation(),
-		grants:      make(map[GrantID]*outstanding),
-		latencies:   make(map[site.RuleName]latencyEstimate),
-		meanMs:      float64(initialLatency.Milliseconds()),
-		seq:         GrantID(now.UnixMicro()),
+		servers:   make(map[site.ServerName]*server),
+		queue:     newQueue(),
+		budget:    newBudget(now, set.Retry),
+		grants:    make(map[GrantID]*outstanding),
+		latencies: make(map[site.RuleName]latencyEstimate),
+		meanMs:    float64(initialLatency.Milliseconds()),
+		seq:       GrantID(now.UnixMicro()),
 	}
 }
 
@@ -209,7 +208,6 @@
 		p.budget.recordRequest(now)
 	}
 	if refused, unsendable := p.refuseUnsendable(now, r); unsendable {
-		p.degradation.recordRequest(now, true)
 		return refused
 	}
 	if v := p.probeTarget(now, r); v != nil {
@@ -265,7 +263,6 @@
 	}
 	waitLimit := p.waitLimit(now, r)
 	if now.Add(wait).After(waitLimit) && !p.queue.evictFor(r) {
-		p.degradation.recordRequest(now, true)
 		return p.refuse(wait)
 	}
 	if p.queue.len() >= maxQueueLen {
@@ -355,7 +352,7 @@
 		MayRetry: r.Class == site.Repeatable && (r.MaxAttempts == 0 || r.Attempts+1 < r.MaxAttempts) && p.budget.allowsRetry(now),
 	}
 	g.Timeout = p.timeout(now, r, probe)
-	p.grants[g.ID] = &outstanding{g, v, r.Key, r.Rule, r.VM, now, r.Deadline}
+	p.grants[g.ID] = &outstanding{grant: g, server: v, key: r.Key, rule: r.Rule, vm: r.VM, grantedAt: now, deadline: r.Deadline}
 	return g
 }
 
--- a/pkg/pool/report.go
+++ b/pkg/pool/report.go
@@ -93,7 +93,11 @@
 		}
 	}
 	before := v.state
-	p.recordOutcome(now, o, r)
+	switch r.(type) {
+	case Failed, Unreached, Declined:
+		v.failedAt = now
+	case Served, Dropped:
+	}
 	p.applyReport(now, v, o, r)
 	if v.state == before || p.servers[v.cfg.Name] != v {
 		return nil
@@ -101,30 +105,6 @@
 	return []Event{{v.cfg.Name, before, v.state, v.reason}}
 }
 
-// deadlineMargin is how close to its deadline a dropped request must end to count as
-// one that missed it. Callers' clocks run a little ahead of the fleet's.
-const deadlineMargin = 100 * time.Millisecond
-
-// recordOutcome counts the outcome of a request towards degradation. A failed
-// request that may still be sent to another server is not counted as failed yet.
-func (p *Pool) recordOutcome(now time.Time, o *outstanding, r Report) {
-	switch r.(type) {
-	case Failed:
-		o.server.failedAt = now
-		if !o.grant.MayRetry {
-			p.degradation.recordRequest(now, true)
-		}
-	case Unreached, Declined:
-		o.server.failedAt = now
-	case Served:
-		p.degradation.recordRequest(now, false)
-	case Dropped:
-		if !now.Add(deadlineMargin).Before(o.deadline) {
-			p.degradation.recordRequest(now, true)
-		}
-	}
-}
-
 // applyReport updates the statistics and the state of the server.
 func (p *Pool) applyReport(now time.Time, v *server, o *outstanding, r Report) {
 	switch r := r.(type) {
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -82,12 +82,12 @@
 
 // hasFreeSlot reports whether the server has a free slot for a request that is not a
 // probe. With lastResort, suspected servers and servers in back-off are included.
-// While the service is degraded, so are servers without traffic; while the pool is
-// overloaded, so are servers in back-off, for one request each.
+// Servers that need a request always are; while the pool is overloaded, so are servers
+// in back-off, for one request each.
 func (v *server) hasFreeSlot(k ranking, lastResort bool) bool {
 	now := k.now
-	if k.degraded && v.withoutTraffic(now) {
-		return v.inUse < max(1, v.openSlots)
+	if k.testsIdle && v.needsRequest(now, k.atMostOnce) {
+		return true
 	}
 	if !v.trusted() && (!lastResort || v.state != Suspected) {
 		return false
--- a/pkg/pool/slowness.go
+++ b/pkg/pool/slowness.go
@@ -9,6 +9,9 @@
 	// slowResponseRatio is the latency above which a response is slow, as a multiple of
 	// the 95th percentile. One in sixty responses of a healthy server is slow.
 	slowResponseRatio = 1.5
+	// verySlowRatio is the same for responses that are very slow, which is hardly ever
+	// chance.
+	verySlowRatio = 2
 )
 
 // slowness is a server's slow period, which begins with a slow or overdue response.
@@ -20,6 +23,7 @@
 	slowUntil   time.Time // End of the slow period.
 	slowPeriods int       // Slow periods in a row, which lengthen the next one.
 	slowGrant   GrantID   // The server's latest grant when the slow period began.
+	verySlowAt  time.Time // When a response was last very slow or overdue by as much.
 }
 
 // recordSlow begins a slow period, because the response to grant g is slow or overdue.
@@ -34,6 +38,13 @@
 	s.slowGrant = last
 }
 
+// recordVerySlow lengthens the slow period. Unless a response on time ends it, it lasts
+// longer than the server goes without a request (server.needsRequest).
+func (s *slowness) recordVerySlow(now time.Time) {
+	s.verySlowAt = now
+	s.slowUntil = now.Add(maxSlowPeriod)
+}
+
 // recordOnTime ends the slow period after a response on time, unless its grant is
 // from before the slow period.
 func (s *slowness) recordOnTime(g GrantID) {
@@ -48,9 +59,14 @@
 // markOverdue begins a slow period for each server with an overdue response.
 func (p *Pool) markOverdue(now time.Time) {
 	for _, o := range p.grants {
-		if !o.server.isSlow(now) && now.Sub(o.grantedAt) > p.slowAfter(now, o) {
+		took := now.Sub(o.grantedAt)
+		if !o.server.isSlow(now) && took > p.slowAfter(now, o) {
 			o.server.recordSlow(now, o.grant.ID, o.server.lastGrant)
 		}
+		if !o.verySlow && took > p.verySlowAfter(now, o) {
+			o.verySlow = true
+			o.server.recordVerySlow(now)
+		}
 	}
 }
 
@@ -59,6 +75,11 @@
 	return scale(p.latencyOf(now, o.rule).p95, slowResponseRatio)
 }
 
+// verySlowAfter returns the latency above which the response to a grant is very slow.
+func (p *Pool) verySlowAfter(now time.Time, o *outstanding) time.Duration {
+	return scale(p.latencyOf(now, o.rule).p95, verySlowRatio)
+}
+
 // updateSlowness begins or ends a slow period of the server, depending on how long
 // the response to a grant took. Responses between the 95th percentile and slowAfter
 // change nothing, nor do responses of a server that is slow after its start.
--- a/pkg/pool/streaks.go
+++ b/pkg/pool/streaks.go
@@ -60,6 +60,7 @@
 		}
 		v.backOff = backOff{}
 		if s.Failures > 0 {
+			v.failedAt = observedAt
 			v.backOff = backOff{backOffUntil: now.Add(s.BackOff), streakFailedAt: observedAt, streak: s.Failures, startGrant: v.lastGrant}
 		}
 	}
--- a/pkg/pool/streaks_test.go
+++ b/pkg/pool/streaks_test.go
@@ -33,15 +33,34 @@
 	assert.Assert(t, waits)
 	assert.Equal(t, len(home.FailureStreaks(now, now)), 0, "nothing has changed since")
 
+	good := pool.Served{Rule: reads, Took: 5 * time.Millisecond}
+	for range 2 {
+		serveOthers(t, home, start.Add(1900*time.Millisecond), once, good, bad[0])
+	}
 	now = start.Add(2100 * time.Millisecond)
 	for range 4 {
 		g := admit(t, home, now, aRequest("a"))
-		home.Release(now, g, pool.Served{Rule: reads, Took: 5 * time.Millisecond})
+		home.Release(now, g, good)
 	}
 	next.MergeFailureStreaks(now, home.FailureStreaks(now, start))
 	assert.Equal(t, next.Stats(now).Usable, 4)
 }
 
+// TestNewHomeDoesNotTestServersThatHaveJustFailed guards against a standby that takes
+// over and sends at-most-once requests to servers in a failure streak, since to it they
+// have been idle for long.
+func TestNewHomeDoesNotTestServersThatHaveJustFailed(t *testing.T) {
+	next := newPool(4, 2)
+	now := start.Add(10 * time.Second)
+	once := aRequest("a")
+	once.Class = site.AtMostOnce
+	next.MergeFailureStreaks(now, []pool.FailureStreak{{Server: "s-1", Failures: 1, BackOff: time.Second, Age: time.Second}})
+	for range 5 {
+		g := admit(t, next, now, once)
+		assert.Assert(t, g.Server.Name != "s-1", "sent to a server that failed a second ago")
+	}
+}
+
 // TestNewerObservationsOutweighMergedStreaks merges a failure that is older than a
 // response that the home has got from the server itself.
 func TestNewerObservationsOutweighMergedStreaks(t *testing.T) {
