pool, dispatch: a VM's list that lacks a server takes it out for a second, not for two minutes

Cause: an entry VM declines a grant whose server its own list lacks, or shows as leaving, and reported that as the server's own draining; the home then left the server out until a probe two minutes later. The VM's list was taken to be newer than the home's. It may as well be older: all 17 servers registered again at 21.46 s, lists of VMs followed until 21.66 s, and grants of 21.658 to 21.660 s were declined within a millisecond by VMs that had not heard of them.

Now the reason is told apart (Unlisted): the home pauses such a server for a second, by when the lists agree, and a VM whose list shows an earlier start of the server accepts the grant. The bound on leaving servers stands: the home's own list has it within that second, or the next VM declines again.

Tests: TestServerMissingInAVMsListIsUsedAgain, TestOlderListDoesNotRejectARestartedServer (both fail with the old reason and comparison).

--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -90,9 +90,8 @@
 	if refused != nil {
 		return nil, refused
 	}
-	if d.hasDeparted(s.Grant().Server) {
-		// This VM's copy of the registry is newer than that of the home.
-		d.releaseSlot(j, s, pool.Declined{Reason: pool.Drain})
+	if d.isUnlisted(s.Grant().Server) {
+		d.releaseSlot(j, s, pool.Declined{Reason: pool.Unlisted})
 		return d.requestOtherSlot(ctx, j, res, noWait, s.Grant().Server.Name)
 	}
 	return s, nil
@@ -108,14 +107,18 @@
 	return d.requestSlot(ctx, j, res, noWait)
 }
 
-// hasDeparted reports whether this VM's registry shows that a server is draining,
-// has gone, has restarted or has moved to another address.
-func (d *Dispatcher) hasDeparted(s site.Server) bool {
+// isUnlisted reports whether this VM's registry lacks a server, or shows that it is
+// draining, has restarted or has moved to another address. A registry that shows an
+// earlier start of the server is older than the home's, and proves nothing.
+func (d *Dispatcher) isUnlisted(s site.Server) bool {
 	if s.StartedMs == 0 {
 		return false // A configured server, which is not in the registry.
 	}
-	registered, ok := d.cfg.Registry.State().Server(s.Name)
-	return !ok || registered.Draining || registered.Server.StartedMs > s.StartedMs || registered.Server.Address != s.Address
+	l, ok := d.cfg.Registry.State().Server(s.Name)
+	if !ok || l.Server.StartedMs != s.StartedMs {
+		return !ok || l.Server.StartedMs > s.StartedMs
+	}
+	return l.Draining || l.Server.Address != s.Address
 }
 
 // releaseSlot returns a slot to the pool's home with a report of the attempt.
--- a/pkg/dispatch/run_test.go
+++ b/pkg/dispatch/run_test.go
@@ -8,12 +8,14 @@
 	"net/http"
 	"net/url"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/outcome"
 	"laburnumpick.org/pkg/pool"
+	"laburnumpick.org/pkg/registry"
 	"laburnumpick.org/pkg/site"
 )
 
@@ -55,3 +57,37 @@
 	assert.Equal(t, r.finalResponse(), erring.response)
 	assert.Equal(t, r.res.Server, site.ServerName("erring"))
 }
+
+// TestOlderListDoesNotRejectARestartedServer guards against a VM that has not heard yet
+// that a server has restarted and takes the home's newer knowledge for outdated.
+func TestOlderListDoesNotRejectARestartedServer(t *testing.T) {
+	listed := site.Server{Name: "s-1", Address: "10.0.0.1:80", StartedMs: 2000}
+	with := func(edit func(*site.Server)) site.Server {
+		s := listed
+		edit(&s)
+		return s
+	}
+	for _, c := range []struct {
+		name     string
+		granted  site.Server
+		draining bool
+		want     bool
+	}{
+		{"as listed", listed, false, false},
+		{"draining", listed, true, true},
+		{"the home knows a newer start", with(func(s *site.Server) { s.StartedMs = 3000 }), false, false},
+		{"the home knows a newer start at another address", with(func(s *site.Server) { s.StartedMs, s.Address = 3000, "10.0.0.2:80" }), true, false},
+		{"the home knows an older start", with(func(s *site.Server) { s.StartedMs = 1000 }), false, true},
+		{"another address", with(func(s *site.Server) { s.Address = "10.0.0.2:80" }), false, true},
+		{"not listed", with(func(s *site.Server) { s.Name = "s-2" }), false, true},
+		{"a configured server", with(func(s *site.Server) { s.Name, s.StartedMs = "s-2", 0 }), false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := registry.NewReplica()
+			e := registry.Entry{Service: "s", Server: listed, Draining: c.draining, Seq: 1}
+			r.Apply(time.Now(), registry.Update{Full: true, Revision: 1, Entries: []registry.Entry{e}})
+			d := &Dispatcher{cfg: Config{Registry: r}}
+			assert.Equal(t, d.isUnlisted(c.granted), c.want)
+		})
+	}
+}
--- a/pkg/pool/backoff_test.go
+++ b/pkg/pool/backoff_test.go
@@ -488,3 +488,19 @@
 		})
 	}
 }
+
+// TestServerMissingInAVMsListIsUsedAgain guards against returned servers that are left
+// out for minutes, because VMs that had not heard of them yet declined their first
+// requests and the home took that for draining.
+func TestServerMissingInAVMsListIsUsedAgain(t *testing.T) {
+	p := newPool(3, 1)
+	for range 3 {
+		p.Release(start, admit(t, p, start, aRequest("a")), pool.Declined{Reason: pool.Unlisted})
+	}
+	_, granted := p.Admit(start.Add(100*time.Millisecond), aRequest("a")).(pool.Granted)
+	assert.Assert(t, !granted, "used again before the lists can agree")
+	now := start.Add(1500 * time.Millisecond)
+	for range 3 {
+		admit(t, p, now, aRequest("a"))
+	}
+}
--- a/pkg/pool/report.go
+++ b/pkg/pool/report.go
@@ -59,6 +59,9 @@
 	Cold  DeclineReason = "cold"
 	// Moved means that another server answered at the address.
 	Moved DeclineReason = "moved"
+	// Unlisted means that the VM's list of registered servers shows that the server has
+	// left or is leaving, or lacks it. That list may be newer than the home's, or older.
+	Unlisted DeclineReason = "unlisted"
 )
 
 // Event is a change of a server's state, for the journal.
@@ -93,10 +96,8 @@
 		}
 	}
 	before := v.state
-	switch r.(type) {
-	case Failed, Unreached, Declined:
+	if saysServerFailed(r) {
 		v.failedAt = now
-	case Served, Dropped:
 	}
 	p.applyReport(now, v, o, r)
 	if v.state == before || p.servers[v.cfg.Name] != v {
@@ -105,6 +106,19 @@
 	return []Event{{v.cfg.Name, before, v.state, v.reason}}
 }
 
+// saysServerFailed reports whether the server failed the request, declined it or was
+// not reached.
+func saysServerFailed(r Report) bool {
+	switch r := r.(type) {
+	case Failed, Unreached:
+		return true
+	case Declined:
+		return r.Reason != Unlisted
+	case Served, Dropped:
+	}
+	return false
+}
+
 // applyReport updates the statistics and the state of the server.
 func (p *Pool) applyReport(now time.Time, v *server, o *outstanding, r Report) {
 	switch r := r.(type) {
@@ -257,6 +271,8 @@
 			v.setState(now, Leaving, "it is draining")
 			v.nextProbe = now.Add(leavingRecheck)
 		}
+	case Unlisted:
+		v.pausedUntil = now.Add(unlistedPause)
 	case Moved:
 		v.moved = true // Until it registers again with a new start time or address.
 		p.markDeparting(now, v, "another server has its address")
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -31,6 +31,7 @@
 	strikeMemory            = 10 * time.Minute       // After that time without a strike, strikes are forgotten.
 	shedPause               = 20 * time.Millisecond  // After the server shed a request.
 	coldPause               = 500 * time.Millisecond // After the server declined a request as cold.
+	unlistedPause           = time.Second            // After a VM's list lacked the server. By then the VMs' lists agree again.
 )
 
 // Counts of probation.
@@ -51,7 +52,7 @@
 	grantedAt   time.Time
 	failedAt    time.Time // When a request last failed on it, or it declined one or was not reached.
 	servedAt    time.Time // When it last gave a good response.
-	pausedUntil time.Time // Until when it gets no requests, after it shed one or declined one as cold.
+	pausedUntil time.Time // Until when it gets no requests, after one was declined as Shed, Cold or Unlisted.
 	coldUntil   time.Time // Until when it is slow after its start.
 	departing   bool      // It registered as leaving, or another server has its address.
 	moved       bool      // Another server has its address.
