pool: leave out slow servers on reports alone, and none while the whole service is slow

Cause: a grant that was overdue by twice the 95th percentile counted as proof. It is none: the VM, or its link to the home, may be what is late.

Now only the times that VMs report count, two very slow responses in a row are needed, and none counts while over 8.5% of the service's responses in two seconds are very slow. Meanwhile a slow server that runs a request gets the next one after 1.8 s at the latest.

--- a/pkg/pool/idle.go
+++ b/pkg/pool/idle.go
@@ -15,6 +15,9 @@
 	// maxIdleAtMostOnce is the limit for at-most-once requests, so that repeatable
 	// ones, if there are any, test the server first.
 	maxIdleAtMostOnce = 1400 * time.Millisecond
+	// maxIdleOverdue is the limit while a slow server runs a request, whose end would
+	// tell more.
+	maxIdleOverdue = 1800 * time.Millisecond
 	// failureExclusion is how long after a failure the time without requests begins.
 	failureExclusion = 2400 * time.Millisecond
 	// slowExclusion is how long after a response that is very slow it begins.
@@ -80,7 +83,10 @@
 		return false
 	}
 	limit := maxIdle
-	if atMostOnce {
+	switch {
+	case v.inUse > 0 && v.isSlow(now):
+		limit = maxIdleOverdue
+	case atMostOnce:
 		limit = maxIdleAtMostOnce
 	}
 	return now.Sub(v.grantedAt) > limit &&
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -127,6 +127,7 @@
 	// lastRepeatable is when the last repeatable request came.
 	lastRepeatable time.Time
 	lastSweep      time.Time // When the queue was last swept for requests that cannot be served in time.
+	slowResponses  window    // All responses; the very slow ones are the marked ones.
 }
 
 // outstanding is a grant that has not been released.
@@ -138,7 +139,6 @@
 	vm        string
 	grantedAt time.Time
 	deadline  time.Time // Of the request. After grantGrace more the VM counts as lost.
-	verySlow  bool      // The response is overdue by more than chance explains.
 }
 
 // New returns a pool without servers. Grant IDs begin at the current time, so that
@@ -146,13 +146,14 @@
 func New(now time.Time, id ID, set Settings) *Pool {
 	return &Pool{
 		id: id, settings: set,
-		servers:   make(map[site.ServerName]*server),
-		queue:     newQueue(),
-		budget:    newBudget(now, set.Retry),
-		grants:    make(map[GrantID]*outstanding),
-		latencies: make(map[site.RuleName]latencyEstimate),
-		meanMs:    float64(initialLatency.Milliseconds()),
-		seq:       GrantID(now.UnixMicro()),
+		servers:       make(map[site.ServerName]*server),
+		queue:         newQueue(),
+		budget:        newBudget(now, set.Retry),
+		slowResponses: newWindow(slowWindowParts),
+		grants:        make(map[GrantID]*outstanding),
+		latencies:     make(map[site.RuleName]latencyEstimate),
+		meanMs:        float64(initialLatency.Milliseconds()),
+		seq:           GrantID(now.UnixMicro()),
 	}
 }
 
--- a/pkg/pool/slowness.go
+++ b/pkg/pool/slowness.go
@@ -12,6 +12,14 @@
 	// verySlowRatio is the same for responses that are very slow, which is hardly ever
 	// chance.
 	verySlowRatio = 2
+	// verySlowToLeaveOut is the number of very slow responses in a row after which a
+	// server is left out for longer.
+	verySlowToLeaveOut = 2
+	// commonSlowShare is the share of a service's very slow responses in the
+	// slowWindow above which the cause lies elsewhere, as in a VM that is paused.
+	commonSlowShare = 0.085
+	slowWindow      = 2 * time.Second
+	slowWindowParts = 4
 )
 
 // slowness is a server's slow period, which begins with a slow or overdue response.
@@ -23,7 +31,8 @@
 	slowUntil   time.Time // End of the slow period.
 	slowPeriods int       // Slow periods in a row, which lengthen the next one.
 	slowGrant   GrantID   // The server's latest grant when the slow period began.
-	verySlowAt  time.Time // When a response was last very slow or overdue by as much.
+	verySlow    int       // Very slow responses without one on time between them.
+	verySlowAt  time.Time // When the latest of them, but not the only one, was certain to be very slow.
 }
 
 // recordSlow begins a slow period, because the response to grant g is slow or overdue.
@@ -38,10 +47,11 @@
 	s.slowGrant = last
 }
 
-// recordVerySlow lengthens the slow period. Unless a response on time ends it, it lasts
-// longer than the server goes without a request (server.needsRequest).
-func (s *slowness) recordVerySlow(now time.Time) {
-	s.verySlowAt = now
+// recordVerySlow lengthens the slow period, because a response was very slow, and so was
+// the one before; overdueAt is when that was certain. Unless a response on time ends it,
+// the period lasts longer than the server goes without a request (server.needsRequest).
+func (s *slowness) recordVerySlow(now, overdueAt time.Time) {
+	s.verySlowAt = overdueAt
 	s.slowUntil = now.Add(maxSlowPeriod)
 }
 
@@ -59,17 +69,36 @@
 // markOverdue begins a slow period for each server with an overdue response.
 func (p *Pool) markOverdue(now time.Time) {
 	for _, o := range p.grants {
-		took := now.Sub(o.grantedAt)
-		if !o.server.isSlow(now) && took > p.slowAfter(now, o) {
+		if !o.server.isSlow(now) && now.Sub(o.grantedAt) > p.slowAfter(now, o) {
 			o.server.recordSlow(now, o.grant.ID, o.server.lastGrant)
 		}
-		if !o.verySlow && took > p.verySlowAfter(now, o) {
-			o.verySlow = true
-			o.server.recordVerySlow(now)
-		}
 	}
 }
 
+// markVerySlow records that a response, or the wait for one that did not come, took long
+// enough to be very slow. The VM with the request has measured that. A grant that is
+// merely overdue proves less, as its VM may be cut off from this home.
+func (p *Pool) markVerySlow(now time.Time, o *outstanding, took time.Duration) {
+	limit := p.verySlowAfter(now, o)
+	p.slowResponses.current(now, slowWindow/slowWindowParts).total++
+	if took <= limit {
+		return
+	}
+	p.slowResponses.current(now, slowWindow/slowWindowParts).marked++
+	v := o.server
+	v.verySlow++
+	if v.verySlow >= verySlowToLeaveOut && !p.commonlySlow(now) {
+		v.recordVerySlow(now, o.grantedAt.Add(limit))
+	}
+}
+
+// commonlySlow reports whether so many of the service's responses are very slow that no
+// single server is the cause.
+func (p *Pool) commonlySlow(now time.Time) bool {
+	s := p.slowResponses.sum(now, slowWindow/slowWindowParts)
+	return float64(s.marked) > commonSlowShare*float64(s.total)
+}
+
 // slowAfter returns the latency above which the response to a grant is slow.
 func (p *Pool) slowAfter(now time.Time, o *outstanding) time.Duration {
 	return scale(p.latencyOf(now, o.rule).p95, slowResponseRatio)
@@ -85,8 +114,11 @@
 // change nothing, nor do responses of a server that is slow after its start.
 func (p *Pool) updateSlowness(now time.Time, o *outstanding, took time.Duration) {
 	v := o.server
+	if v.cold(now) || took == 0 {
+		return
+	}
+	p.markVerySlow(now, o, took)
 	switch {
-	case v.cold(now) || took == 0:
 	case took > p.slowAfter(now, o):
 		v.recordSlow(now, o.grant.ID, v.lastGrant)
 	case took <= scale(p.latencyOf(now, o.rule).p95, 1):
--- a/pkg/pool/slowness_test.go
+++ b/pkg/pool/slowness_test.go
@@ -64,3 +64,35 @@
 	t.Logf("%d of %d missed their deadline", missed, sent)
 	assert.Assert(t, missed <= sent/100, "%d of %d missed their deadline", missed, sent)
 }
+
+// TestPausedVMLeavesNoServerOut guards against servers that get no requests because a VM
+// was paused while it had requests on all of them. Their responses seem very slow, but
+// that is not the servers' fault.
+func TestPausedVMLeavesNoServerOut(t *testing.T) {
+	const servers, pause = 12, 1500 * time.Millisecond
+	p := newPoolWithFloor(servers, 3, func(n int) int { return (7*n + 9) / 10 })
+	once := aRequest("a")
+	once.Class = site.AtMostOnce
+	good := pool.Served{Rule: reads, Took: 5 * time.Millisecond}
+	now := start
+	for range 100 { // Latencies to compare with.
+		now = now.Add(20 * time.Millisecond)
+		p.Release(now, admit(t, p, now, once), good)
+	}
+	var paused []pool.Granted
+	for range 2 * servers {
+		paused = append(paused, admit(t, p, now, once))
+	}
+	now = now.Add(pause)
+	p.Tick(now)
+	for _, g := range paused {
+		p.Release(now, g, pool.Served{Rule: reads, Took: pause})
+	}
+	used := map[site.ServerName]bool{}
+	for end := now.Add(2 * time.Second); now.Before(end); now = now.Add(20 * time.Millisecond) {
+		g := admit(t, p, now, once)
+		used[g.Server.Name] = true
+		p.Release(now, g, good)
+	}
+	assert.Equal(t, len(used), servers)
+}
