pool: a response that is merely late begins a back-off of one second, not of two

Cause: a server whose response comes after the attempt's timeout, while another server answers first, counts as failed and is in back-off for two seconds. One in fifty or more responses of a sound server is that late by chance, more if a link is cut; in a service of eight servers one or two are idle at any time.

Now the first back-off after a timeout is one second; a second failure in a row makes it four as before. A broken connection still means two seconds: it is nearly proof.

TestLateResponseIdlesAServerBriefly fails without it (not used again within 1.5 s).

--- a/pkg/pool/backoff.go
+++ b/pkg/pool/backoff.go
@@ -8,6 +8,9 @@
 const (
 	firstBackOff = 2 * time.Second
 	maxBackOff   = 8 * time.Second
+	// timeoutBackOff is the first back-off if the server has merely not responded in
+	// time. One in fifty or more requests does so by chance.
+	timeoutBackOff = time.Second
 	// overloadBackOff is the back-off while more requests are queued than the usable
 	// servers can run. What the server could serve once its streak is over is then
 	// worth more than the one request that may fail.
@@ -43,8 +46,8 @@
 
 // recordFailure begins a back-off after the failure of grant g. Each back-off of a
 // failure streak is longer than the one before, up to maxBackOff. last is the server's
-// latest grant.
-func (b *backOff) recordFailure(now time.Time, g, last GrantID) {
+// latest grant. timedOut means that no response came in time.
+func (b *backOff) recordFailure(now time.Time, g, last GrantID, timedOut bool) {
 	if g <= b.startGrant {
 		return // The request was sent before the back-off began.
 	}
@@ -55,7 +58,11 @@
 	if b.successes > 0 {
 		b.streak, b.successes = 0, 0 // A success lies between the failures.
 	}
-	b.backOffUntil = now.Add(min(firstBackOff<<min(b.streak, 8), maxBackOff))
+	length := min(firstBackOff<<min(b.streak, 8), maxBackOff)
+	if timedOut && b.streak == 0 {
+		length = timeoutBackOff
+	}
+	b.backOffUntil = now.Add(length)
 	b.streak++
 	b.changedAt = now
 }
--- a/pkg/pool/backoff_test.go
+++ b/pkg/pool/backoff_test.go
@@ -504,3 +504,21 @@
 		admit(t, p, now, aRequest("a"))
 	}
 }
+
+// TestLateResponseIdlesAServerBriefly guards against servers that get no requests for
+// two seconds because one of their responses came late by chance.
+func TestLateResponseIdlesAServerBriefly(t *testing.T) {
+	p := newPool(3, 1)
+	g := admit(t, p, start, aRequest("a"))
+	ended := start.Add(g.Timeout)
+	p.Release(ended, g, pool.Failed{Rule: reads, Took: g.Timeout, Detail: "no response after the attempt timeout"})
+	used := map[site.ServerName]bool{}
+	for ms := 0; ms < 1500; ms += 100 {
+		now := ended.Add(time.Duration(ms) * time.Millisecond)
+		next := admit(t, p, now, aRequest("a"))
+		used[next.Server.Name] = true
+		assert.Assert(t, ms >= 1000 || next.Server.Name != g.Server.Name, "used again after %d ms", ms)
+		p.Release(now, next, pool.Served{Rule: reads, Took: 5 * time.Millisecond})
+	}
+	assert.Assert(t, used[g.Server.Name], "%s was not used again within 1.5 s", g.Server.Name)
+}
--- a/pkg/pool/report.go
+++ b/pkg/pool/report.go
@@ -167,7 +167,7 @@
 	// Healthy servers now and then fail single requests with a complete response. A
 	// broken connection or a timeout points to the server.
 	if !r.Answered || v.failRate >= answeredFailRate {
-		v.recordFailure(now, o.grant.ID, v.lastGrant)
+		v.recordFailure(now, o.grant.ID, v.lastGrant, r.Took >= o.grant.Timeout)
 	}
 	if v.linkFailed(o.vm) {
 		return
@@ -290,7 +290,7 @@
 		v.setState(now, Down, "it went down during a request")
 		v.nextProbe = now.Add(v.connectionCheckDelay())
 	case now.Sub(v.servedAt) > reachableFor:
-		v.recordFailure(now, g.ID, v.lastGrant)
+		v.recordFailure(now, g.ID, v.lastGrant, false)
 	}
 }
 
