pool: of the servers that need a request, those that serve come first

Cause: 35 addresses were given to new servers of ballotline at 7.1 s, a service of 10 servers that then got 12 to 16 requests a second. All 45 servers need a request within 1.4 s, more than there are, and the one that waits longest comes first: for 2.5 s all requests went to the new, cold servers.

Now a server with nothing held against it comes before the others that need a request. TestNewServersDoNotTakeAllRequests: after 8 s 6 of the 10 known servers had got requests, now at least 7 in any two seconds; and at least seven tenths of all 45 in the end.

--- a/pkg/pool/choose.go
+++ b/pkg/pool/choose.go
@@ -78,19 +78,22 @@
 func (k ranking) tier(v *server) int {
 	switch {
 	case k.testsIdle && v.needsRequest(k.now, k.atMostOnce):
-		return 0
+		if v.idleReason(k.now) == IdleUnchosen {
+			return 0 // If requests are too few for all, those that serve come first.
+		}
+		return 1
 	case !v.trusted():
-		return 5
+		return 6
 	case v.inBackOff(k.now):
-		return 4
+		return 5
 	case v.recovering(k.now) && k.probesRecovery:
-		return 0
+		return 1
 	case v.recovering(k.now):
-		return 3
+		return 4
 	case v.cold(k.now), k.atMostOnce && v.isSlow(k.now):
-		return 2
+		return 3
 	default:
-		return 1
+		return 2
 	}
 }
 
--- a/pkg/pool/idle_test.go
+++ b/pkg/pool/idle_test.go
@@ -1,6 +1,7 @@
 package pool_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -59,3 +60,41 @@
 	}
 	return out
 }
+
+// TestNewServersDoNotTakeAllRequests guards against sound servers that get no requests
+// for two seconds because many new servers join a service with few requests.
+func TestNewServersDoNotTakeAllRequests(t *testing.T) {
+	const known, joined, rate = 10, 35, 14
+	set := pool.Settings{ScoreThreshold: 10, Retry: pool.DefaultRetryLimits}
+	p := pool.New(start, "s", set)
+	var members []pool.Member
+	add := func(n int, coldUntil time.Time) {
+		for range n {
+			name := site.ServerName(fmt.Sprintf("s-%02d", len(members)))
+			members = append(members, pool.Member{Server: site.Server{Name: name, Address: string(name), Slots: 3}, ColdUntil: coldUntil})
+		}
+	}
+	add(known, time.Time{})
+	p.Configure(start, set, members)
+	once := aRequest("a")
+	once.Class = site.AtMostOnce
+	last := make(map[site.ServerName]time.Time)
+	for i := range 20 * rate {
+		now := start.Add(time.Duration(i) * time.Second / rate)
+		if i == 5*rate {
+			add(joined, now.Add(3*time.Second))
+			p.Configure(now, set, members)
+		}
+		g := admit(t, p, now, once)
+		last[g.Server.Name] = now
+		p.Release(now, g, pool.Served{Rule: reads, Took: 5 * time.Millisecond})
+		used := 0
+		for _, m := range members[:known] {
+			if now.Sub(last[m.Name]) <= 2*time.Second {
+				used++
+			}
+		}
+		assert.Assert(t, i < 2*rate || i > 8*rate || used >= known*7/10, "after %v only %d of %d servers had got requests", now.Sub(start), used, known)
+	}
+	assert.Assert(t, len(last) >= known+joined*7/10, "only %d of %d servers got requests", len(last), known+joined)
+}
