--- a/pkg/pool/backoff_test.go
+++ b/pkg/pool/backoff_test.go
@@ -253,11 +253,11 @@
 	assert.Equal(t, granted, 2)
 }
 
-// TestDegradedServiceUsesAllServers gives four of twelve servers a failure streak,
+// TestAllServersAreUsedWhileRequestsFail gives four of twelve servers a failure streak,
 // then lets an eighth of the service's requests fail for another reason. The four
 // servers have recovered by then, so each server must get a request within two
 // seconds: the pool might otherwise leave out just the servers that work.
-func TestDegradedServiceUsesAllServers(t *testing.T) {
+func TestAllServersAreUsedWhileRequestsFail(t *testing.T) {
 	p := newPoolWithFloor(12, 3, func(n int) int { return (7*n + 9) / 10 })
 	once, exhausted := aRequest("a"), aRequest("a")
 	once.Class = site.AtMostOnce
@@ -285,11 +285,9 @@
 	}
 }
 
-// TestMissedDeadlinesCountAsDegradation is like TestDegradedServiceUsesAllServers,
-// but with slow answers instead of refusals: callers leave when their deadline
-// passes. These requests were not served, so they count although no failure was
-// reported.
-func TestMissedDeadlinesCountAsDegradation(t *testing.T) {
+// TestAllServersAreUsedWhileDeadlinesAreMissed is like TestAllServersAreUsedWhileRequestsFail,
+// but with slow responses instead of refusals: callers leave when their deadline passes.
+func TestAllServersAreUsedWhileDeadlinesAreMissed(t *testing.T) {
 	p := newPoolWithFloor(12, 3, func(n int) int { return (7*n + 9) / 10 })
 	once := aRequest("a")
 	once.Class = site.AtMostOnce
