--- a/pkg/pool/floor_test.go
+++ b/pkg/pool/floor_test.go
@@ -11,21 +11,7 @@
 
 	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/site"
-)
-
-// Figures of the users' rule on idle servers.
-const (
-	floorShare  = 0.7             // Share of the sound servers that must get requests.
-	floorWindow = 2 * time.Second // In any window of this length.
-	soundAfter  = 2 * time.Second // How long after a failure streak a server is sound again.
-)
-
-// Failure streaks of the simulated servers, as on the users' bench: at any time
-// three in ten servers break most of their connections.
-const (
-	meanStreak = 6 * time.Second
-	meanPause  = 14 * time.Second
-	breakShare = 0.85
+	"laburnumpick.org/pkg/standin"
 )
 
 // load describes a service and the requests for it.
@@ -92,7 +78,7 @@
 	var members []pool.Member
 	for i := range l.servers {
 		n := site.ServerName(fmt.Sprintf("s-%d", i))
-		v := &streakServer{failing: s.rng.Float64() < 0.3, soundFrom: start}
+		v := &streakServer{failing: s.rng.Float64() < standin.StreakShare, soundFrom: start}
 		v.changesAt = start.Add(s.streakLength(v.failing))
 		s.servers = append(s.servers, v)
 		s.byName[n] = v
@@ -105,9 +91,9 @@
 
 func (s *simulation) streakLength(failing bool) time.Duration {
 	if failing {
-		return exponential(s.rng, meanStreak)
+		return exponential(s.rng, standin.MeanStreak)
 	}
-	return exponential(s.rng, meanPause)
+	return exponential(s.rng, standin.MeanPause)
 }
 
 // run plays the load for a time, in steps of a millisecond.
@@ -142,7 +128,7 @@
 			continue
 		}
 		v.failing = !v.failing
-		v.soundFrom = s.now.Add(soundAfter)
+		v.soundFrom = s.now.Add(standin.SoundAfter)
 		v.changesAt = s.now.Add(s.streakLength(v.failing))
 	}
 }
@@ -172,7 +158,7 @@
 	v := s.byName[g.Server.Name]
 	v.servedAt = s.now
 	s.sent++
-	if v.failing && s.rng.Float64() < breakShare {
+	if v.failing && s.rng.Float64() < standin.BreakShare {
 		s.failed++
 		took := 2 * time.Millisecond
 		heap.Push(&s.running, completion{s.now.Add(took), g, pool.Failed{Rule: reads, Took: took, Detail: "reset"}})
@@ -185,7 +171,7 @@
 // checkFloor determines the share of the sound servers that got requests in the last
 // window.
 func (s *simulation) checkFloor() {
-	from := s.now.Add(-floorWindow)
+	from := s.now.Add(-standin.FloorWindow)
 	if from.Sub(start) < 10*time.Second {
 		return
 	}
@@ -218,7 +204,7 @@
 				s := newSimulation(l, seed)
 				s.run(30 * time.Second)
 				t.Logf("seed %d: least share %.2f at %v; %d sent, %d failed, %d refused", seed, s.leastUsed, s.leastAt.Sub(start), s.sent, s.failed, s.refused)
-				assert.Check(t, s.leastUsed >= floorShare, "seed %d: after %v only %.2f of the sound servers had got requests for two seconds",
+				assert.Check(t, s.leastUsed >= standin.FloorShare, "seed %d: after %v only %.2f of the sound servers had got requests for two seconds",
 					seed, s.leastAt.Sub(start), s.leastUsed)
 			}
 		})
--- a/pkg/trial/floor_test.go
+++ b/pkg/trial/floor_test.go
@@ -14,20 +14,6 @@
 	"laburnumpick.org/pkg/trial"
 )
 
-// Figures of the users' rule on idle servers.
-const (
-	floorShare  = 0.7             // Share of the sound servers that must get requests.
-	floorWindow = 2 * time.Second // In any window of this length.
-	soundAfter  = 2 * time.Second // How long after a failure streak a server is sound again.
-)
-
-// Failure streaks of the servers, as on the users' bench.
-const (
-	meanStreak = 6 * time.Second
-	meanPause  = 14 * time.Second
-	breakShare = 0.85
-)
-
 // streak is a time in which a server failed.
 type streak struct{ from, to time.Time }
 
@@ -43,10 +29,10 @@
 			return true
 		}
 	}
-	for pause(lengthOf(meanPause)) {
-		s.SetFaults(standin.Faults{CloseShare: breakShare})
+	for pause(lengthOf(standin.MeanPause)) {
+		s.SetFaults(standin.Faults{CloseShare: standin.BreakShare})
 		from := time.Now()
-		ended := !pause(lengthOf(meanStreak))
+		ended := !pause(lengthOf(standin.MeanStreak))
 		out = append(out, streak{from, time.Now()})
 		s.SetFaults(standin.Faults{})
 		if ended {
@@ -94,11 +80,11 @@
 // window between two times, and when the window ended.
 func (s soundServers) leastUsed(from, to time.Time) (float64, time.Time) {
 	least, at := 1.0, from
-	for end := from.Add(floorWindow); end.Before(to); end = end.Add(100 * time.Millisecond) {
-		begin := end.Add(-floorWindow)
+	for end := from.Add(standin.FloorWindow); end.Before(to); end = end.Add(100 * time.Millisecond) {
+		begin := end.Add(-standin.FloorWindow)
 		sound, used := 0, 0
 		for i := range s.runs {
-			if s.failed(i, begin.Add(-soundAfter), end) {
+			if s.failed(i, begin.Add(-standin.SoundAfter), end) {
 				continue
 			}
 			sound++
@@ -245,6 +231,6 @@
 		results[i].runs = f.ArrivalsOf(l.service)
 		least, at := results[i].leastUsed(begin.Add(4*time.Second), begin.Add(floorLength))
 		t.Logf("%s: least share %.2f after %v", l.service, least, at.Sub(begin))
-		assert.Check(t, least >= floorShare, "%s: in the two seconds before %v only %.2f of the sound servers got requests", l.service, at.Sub(begin), least)
+		assert.Check(t, least >= standin.FloorShare, "%s: in the two seconds before %v only %.2f of the sound servers got requests", l.service, at.Sub(begin), least)
 	}
 }
