dispatch, platform: read and log the limits that servers name

No source file read the header.

The head of a response is looked at before its body is read, so a long or broken body hides no limit.

No decision changes.

--- a/pkg/backend/contract.go
+++ b/pkg/backend/contract.go
@@ -1,6 +1,10 @@
 package backend
 
-import "net/http"
+import (
+	"net/http"
+
+	"laburnumpick.org/pkg/site"
+)
 
 // Contract describes what peers and the fleet agree on beyond HTTP. The zero
 // Contract is the default, in which a server refuses with HeaderRefused.
@@ -9,6 +13,9 @@
 	// meant. A server with another name must refuse the request. It is empty if
 	// servers do not check.
 	HeaderExpect string
+	// HeaderLimit is the response header in which a server names its
+	// site.RequestLimit. If it is empty, it is HeaderRequestLimit.
+	HeaderLimit string
 	// Refused reports whether a response means that the server has not run the
 	// request and never will. The reason is one of the Refused constants. If
 	// Refused is nil, the HeaderRefused header is used.
@@ -39,6 +46,16 @@
 	}
 }
 
+// Limit returns the limit on requests that the server of a response names. See
+// site.ParseRequestLimit for the error.
+func (c Contract) Limit(h http.Header) (site.RequestLimit, error) {
+	name := c.HeaderLimit
+	if name == "" {
+		name = HeaderRequestLimit
+	}
+	return site.ParseRequestLimit(h.Values(name))
+}
+
 // check returns an error if a response cannot come from the server itself.
 func (c Contract) check(r *http.Response) error {
 	if c.CheckOrigin == nil {
--- a/pkg/backend/send.go
+++ b/pkg/backend/send.go
@@ -22,6 +22,9 @@
 	// running its handler. Its value is RefusedShed, RefusedDrain or RefusedCold;
 	// any other value counts as RefusedShed.
 	HeaderRefused = "Laburnumpick-Refused"
+	// HeaderRequestLimit names, in a response, how many requests per second the server
+	// takes from all VMs together. A response without it means that there is no limit.
+	HeaderRequestLimit = "Laburnumpick-Request-Limit"
 )
 
 // Reasons for which a server refuses a request.
@@ -51,6 +54,9 @@
 	ReusedConnTimeout time.Duration // Replaces ResponseTimeout on a reused connection, which may be dead.
 	MaxBufferedBody   int           // Largest body, in bytes, that is buffered until it is complete.
 	Contract          Contract
+	// OnHead is called with the head of the final response, before its body is read. It
+	// is not called for heads that cannot belong to the request. It may be nil.
+	OnHead func(status int, h http.Header)
 }
 
 // Response is a response with a complete head. A body of up to
@@ -111,7 +117,7 @@
 	if err != nil {
 		return nil, &Error{Stage: NotSent, cause: err}
 	}
-	x := &exchange{pool: p, conn: c, ctx: ctx, responseTimeout: o.ResponseTimeout, contract: o.Contract}
+	x := &exchange{pool: p, conn: c, ctx: ctx, responseTimeout: o.ResponseTimeout, contract: o.Contract, onHead: o.OnHead}
 	if c.reused {
 		x.responseTimeout = o.ReusedConnTimeout
 	}
@@ -134,6 +140,7 @@
 	method          string
 
 	contract Contract
+	onHead   func(status int, h http.Header)
 	reusable bool // The connection can be reused for another request.
 }
 
@@ -159,6 +166,9 @@
 	if err := x.contract.check(resp); err != nil {
 		return nil, x.newError(InvalidResponse, err)
 	}
+	if x.onHead != nil {
+		x.onHead(resp.StatusCode, resp.Header)
+	}
 	x.reusable = !resp.Close && !unframed && writeErr == nil
 	x.conn.updateIdleTimeout(resp.Header)
 	return x.readBody(resp, maxBuffered)
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -56,6 +56,7 @@
 	ledger  *claim.Ledger
 	claimed *claimedRequests
 	avoided *control.TTLSet[site.ServerName] // Servers that this VM recently could not reach or got no response from.
+	limits  *observedLimits
 
 	mu    sync.Mutex // Guards pools.
 	pools map[string]*backend.ConnPool
@@ -66,7 +67,7 @@
 	l := claim.NewLedger(cfg.Store, cfg.Holder)
 	return &Dispatcher{
 		cfg: cfg, ledger: l, claimed: newClaimedRequests(l, cfg.Journal), avoided: control.NewTTLSet[site.ServerName](avoidTime),
-		pools: make(map[string]*backend.ConnPool),
+		limits: newObservedLimits(), pools: make(map[string]*backend.ConnPool),
 	}
 }
 
--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -185,6 +185,7 @@
 	defer span.End()
 	opts := backend.Options{
 		NewConn: j.Match.Class != site.Repeatable, MaxBufferedBody: d.cfg.MaxBufferedBody, Contract: d.cfg.Contract,
+		OnHead: func(status int, h http.Header) { d.observeLimit(j, t, status, h) },
 	}
 	start := time.Now()
 	resp, err := d.connPool(g.Server.Address).Send(ctx, d.buildRequest(ctx, j, g.Server), opts)
