trial, standin: servers that name a limit, and the invariant as failing tests

The stand-in server names any text as its limit, may refuse the excess, and records every arrival; standin.WorstLimitWindow compares these with the limits that it has named: in any 4 s from 3 s after a limit was named at most 1.5 times what it allows, and 5. After a change the higher of the two limits counts for the contact time. No VM is excused.

--- a/pkg/standin/server.go
+++ b/pkg/standin/server.go
@@ -16,6 +16,7 @@
 
 	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/control"
+	"laburnumpick.org/pkg/site"
 )
 
 // Faults configures the faults that a backend server injects. Shares lie between
@@ -30,6 +31,11 @@
 	Unresponsive  bool    `json:"mute,omitempty" yaml:"mute"`             // Requests are accepted and never answered.
 	Draining      bool    `json:"draining,omitempty" yaml:"draining"`     // All requests are refused, as before a shutdown.
 	Cold          bool    `json:"cold,omitempty" yaml:"cold"`             // All requests are refused, as before the warm-up has ended.
+	// Limit is the value with which each response names the server's limit on requests;
+	// empty if it names none. The server does not enforce it unless RefuseOverLimit is
+	// set.
+	Limit           string `json:"limit,omitempty" yaml:"limit"`
+	RefuseOverLimit bool   `json:"refuseOverLimit,omitempty" yaml:"refuseOverLimit"`
 }
 
 // HeaderDurationMicros is the response header that holds the processing time in
@@ -75,6 +81,8 @@
 	inFlight     int
 	runs         []Run
 	shedCount    int
+	arrivals     []time.Time   // Of all requests, also of those that were refused.
+	named        []NamedLimit  // The limits that responses have named, and their ends.
 	refusalTimes []time.Time   // When requests arrived while the server was draining.
 	lastDeadline time.Duration // Time left according to the last request's header.
 	http         *http.Server
@@ -126,6 +134,56 @@
 	return slices.Clone(s.runs)
 }
 
+// Arrivals returns when requests arrived, including those that were refused.
+func (s *Server) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrivals)
+}
+
+// NamedLimits returns the limits that the server's responses have named, each with the
+// time of the first response.
+func (s *Server) NamedLimits() []NamedLimit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.named)
+}
+
+// nameLimit writes the server's limit to the head of a response.
+func (s *Server) nameLimit(h http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	text := s.faults.Limit
+	if text != "" {
+		h.Set(backend.HeaderRequestLimit, text)
+	}
+	l, err := backend.Contract{}.Limit(h)
+	if err != nil {
+		return // Nothing can be concluded from an invalid limit.
+	}
+	var last site.RequestLimit
+	if n := len(s.named); n > 0 {
+		last = s.named[n-1].Limit
+	}
+	if l != last {
+		s.named = append(s.named, NamedLimit{time.Now(), l})
+	}
+}
+
+// isOverLimit reports whether more requests have arrived in the last second than the
+// server's limit allows.
+func (s *Server) isOverLimit(now time.Time) bool {
+	rate, err := strconv.ParseFloat(s.faults.Limit, 64)
+	if err != nil {
+		return false
+	}
+	n := 0
+	for i := len(s.arrivals) - 1; i >= 0 && now.Sub(s.arrivals[i]) < time.Second; i-- {
+		n++
+	}
+	return float64(n) > max(1, rate)
+}
+
 // ShedCount returns the number of requests refused because all slots were in use.
 func (s *Server) ShedCount() int {
 	s.mu.Lock()
@@ -205,8 +263,13 @@
 	if ms, err := strconv.Atoi(deadlineMs); err == nil {
 		s.lastDeadline = time.Duration(ms) * time.Millisecond
 	}
+	now := time.Now()
+	s.arrivals = append(s.arrivals, now)
 	p := responsePlan{faults: s.faults}
 	switch {
+	case s.faults.RefuseOverLimit && s.isOverLimit(now):
+		s.shedCount++
+		p.refusal = backend.RefusedShed
 	case s.faults.Draining:
 		s.refusalTimes = append(s.refusalTimes, time.Now())
 		p.refusal = backend.RefusedDrain
@@ -251,6 +314,7 @@
 	mark := r.Header.Get(HeaderMark)
 	p := s.admit(mark, r.Header.Get(backend.HeaderDeadlineMs))
 	if p.refusal != "" {
+		s.nameLimit(w.Header())
 		w.Header().Set(backend.HeaderRefused, p.refusal)
 		http.Error(w, p.refusal, http.StatusServiceUnavailable)
 		return
@@ -286,6 +350,9 @@
 	}
 	w.Header().Set(backend.HeaderRequestID, id)
 	w.Header().Set("Content-Type", "text/plain")
+	if !p.close && !p.mismatch { // Otherwise no VM can learn it.
+		s.nameLimit(w.Header())
+	}
 	w.Header().Set(HeaderDurationMicros, strconv.FormatInt(p.duration.Microseconds(), 10))
 	size, _ := strconv.Atoi(r.URL.Query().Get("size"))
 	body := ResponseBody(mark, size)
@@ -305,12 +372,17 @@
 // respondRaw writes a response whose Content-Length does not match the data that
 // is sent: the body is truncated, or followed by a second response.
 func (s *Server) respondRaw(w http.ResponseWriter, id string, body []byte, p responsePlan) {
+	limit := w.Header().Get(backend.HeaderRequestLimit)
 	c, buf, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = c.Close() }()
-	_, _ = fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", backend.HeaderRequestID, id, len(body))
+	_, _ = fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\n%s: %s\r\n", backend.HeaderRequestID, id)
+	if limit != "" {
+		_, _ = fmt.Fprintf(buf, "%s: %s\r\n", backend.HeaderRequestLimit, limit)
+	}
+	_, _ = fmt.Fprintf(buf, "Content-Length: %d\r\n\r\n", len(body))
 	if p.truncate {
 		body = body[:len(body)/2]
 	} else {
--- /dev/null
+++ b/pkg/trial/limits_of_servers_test.go
@@ -0,0 +1,217 @@
+package trial_test
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"laburnumpick.org/pkg/roster"
+	"laburnumpick.org/pkg/site"
+	"laburnumpick.org/pkg/standin"
+	"laburnumpick.org/pkg/trial"
+)
+
+// limitCase is a disturbance during which no server may get more requests than the
+// limit that it has named allows.
+type limitCase struct {
+	name    string
+	share   float64 // Share of the servers that name a limit.
+	faults  standin.Faults
+	limit   func(rng *rand.Rand) []string // Values that a server names, one after the other.
+	disturb func(f *trial.Fleet, rng *rand.Rand)
+}
+
+// limitedLoads are the loads of a trial of the limits. Without limits each server gets
+// 5 requests a second.
+var limitedLoads = []floorLoad{
+	{service: "sealbook", rate: 60, keyed: true, path: "/resolutions/1"},
+	{service: "packshelf", rate: 40, path: "/packs/1"},
+}
+
+// constantLimit draws a limit that a server names until the end.
+func constantLimit(rng *rand.Rand) []string {
+	return []string{[]string{"0.3", "0.5", "1", "2.1", "3"}[rng.IntN(5)]}
+}
+
+// changingLimits draws limits that rise, fall, end and come back.
+func changingLimits(rng *rand.Rand) []string {
+	all := []string{"0", "0.2", "1", "2.1", "4", "1000000", "", "-1", "NaN", "1e400", "soon"}
+	out := make([]string, 5)
+	for i := range out {
+		out[i] = all[rng.IntN(len(all))]
+	}
+	return out
+}
+
+// servingHome returns the VM that ranks first as the home of a service's pool among those that serve.
+func servingHome(f *trial.Fleet, n site.ServiceName) *trial.VM {
+	var vms []roster.VM
+	for _, vm := range f.Serving() {
+		vms = append(vms, roster.VM{Name: roster.VMName(vm.Name), DataCentre: vm.DataCentre})
+	}
+	slices.SortFunc(vms, func(a, b roster.VM) int { return cmp.Compare(a.Name, b.Name) })
+	first := roster.NewView(vms).Homes(string(n), 0)[0].Name
+	i := slices.IndexFunc(f.Serving(), func(vm *trial.VM) bool { return vm.Name == string(first) })
+	return f.Serving()[i]
+}
+
+// cutBetween cuts, or restores, both directions of the links between two groups of VMs.
+func cutBetween(f *trial.Fleet, a, b []*trial.VM, cut bool) {
+	for _, x := range a {
+		for _, y := range b {
+			if x != y {
+				f.Net.SetCut(standin.Link{From: x.Name, To: y.Name}, cut)
+				f.Net.SetCut(standin.Link{From: y.Name, To: x.Name}, cut)
+			}
+		}
+	}
+}
+
+// limitedServerCases are the ways in which servers name limits.
+var limitedServerCases = []limitCase{
+	{name: "some servers limited"},
+	{name: "all servers limited", share: 1},
+	{name: "limits change", limit: changingLimits},
+	{name: "late responses", faults: standin.Faults{SlowFactor: 12}},
+	{name: "servers refuse the excess", faults: standin.Faults{RefuseOverLimit: true}},
+}
+
+// changingHomeCases are the ways in which a pool gets another home.
+var changingHomeCases = []limitCase{
+	{name: "homes die", disturb: func(f *trial.Fleet, _ *rand.Rand) {
+		for i := range 3 {
+			time.Sleep(4 * time.Second)
+			f.Kill(servingHome(f, limitedLoads[i%2].service))
+		}
+	}},
+	{name: "homes pause and resume", disturb: func(f *trial.Fleet, rng *rand.Rand) {
+		for i := range 4 {
+			time.Sleep(3 * time.Second)
+			f.Net.Pause(servingHome(f, limitedLoads[i%2].service).Name, time.Duration(500+rng.IntN(2500))*time.Millisecond)
+		}
+	}},
+	{name: "homes are replaced", disturb: func(f *trial.Fleet, _ *rand.Rand) {
+		for i := range 3 {
+			time.Sleep(4 * time.Second)
+			vm := servingHome(f, limitedLoads[i%2].service)
+			restart := trial.Fault{Kind: trial.RestartedVM, Target: vm.Name}
+			_ = restart.Run(f) // A VM that does not start gets no requests.
+		}
+	}},
+}
+
+// severalHomesCases are the ways in which several VMs decide for a pool at a time.
+var severalHomesCases = []limitCase{
+	{name: "a home does not reach half of the VMs", disturb: func(f *trial.Fleet, _ *rand.Rand) {
+		time.Sleep(3 * time.Second)
+		home := []*trial.VM{servingHome(f, "sealbook")}
+		others := f.Serving()[:len(f.Serving())/2]
+		cutBetween(f, home, others, true)
+		time.Sleep(10 * time.Second)
+		cutBetween(f, home, others, false)
+	}},
+	{name: "the fleet is parted", disturb: func(f *trial.Fleet, _ *rand.Rand) {
+		time.Sleep(3 * time.Second)
+		vms := f.Serving()
+		cutBetween(f, vms[:len(vms)/2], vms[len(vms)/2:], true)
+		time.Sleep(10 * time.Second)
+		cutBetween(f, vms[:len(vms)/2], vms[len(vms)/2:], false)
+	}},
+	{name: "every VM is alone", disturb: func(f *trial.Fleet, _ *rand.Rand) {
+		time.Sleep(3 * time.Second)
+		vms := f.Serving()
+		cutBetween(f, vms, vms, true)
+		time.Sleep(10 * time.Second)
+		cutBetween(f, vms, vms, false)
+	}},
+}
+
+// TestServersGetNoMoreThanTheLimitTheyName guards against a backend server that gets more
+// requests from all VMs together than the limit that its responses name.
+func TestServersGetNoMoreThanTheLimitTheyName(t *testing.T) { runLimitCases(t, limitedServerCases) }
+
+// TestLimitsOutliveTheHome guards against a limit that is forgotten when its pool gets
+// another home.
+func TestLimitsOutliveTheHome(t *testing.T) { runLimitCases(t, changingHomeCases) }
+
+// TestSeveralHomesKeepOneLimit guards against a limit that several VMs use up at the same
+// time, each for itself.
+func TestSeveralHomesKeepOneLimit(t *testing.T) { runLimitCases(t, severalHomesCases) }
+
+func runLimitCases(t *testing.T, cases []limitCase) {
+	t.Helper()
+	for _, c := range cases {
+		for seed := range *limitSeeds {
+			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
+				withFleet(t, "tt-north", trial.Options{VMs: 8, Seed: seed, StoreDelay: time.Millisecond, Downtime: time.Second}, func(t *testing.T, f *trial.Fleet) {
+					checkLimitsHold(t, f, c, seed)
+				})
+			})
+		}
+	}
+}
+
+// limitSeeds is the number of seeds of each case.
+var limitSeeds = flag.Uint64("limit.seeds", 2, "seeds of each trial of the servers' limits")
+
+// limitLength is the length of a trial of the limits.
+const limitLength = 18 * time.Second
+
+func checkLimitsHold(t *testing.T, f *trial.Fleet, c limitCase, seed uint64) {
+	t.Helper()
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for i, l := range limitedLoads {
+		wg.Go(func() { l.send(f, f.Serving, rand.New(rand.NewPCG(seed, uint64(i))), stop) })
+		for j, n := range f.Plan.Service(l.service).ServerNames() {
+			rng := rand.New(rand.NewPCG(seed, uint64(100*i+j+10)))
+			wg.Go(func() { nameLimits(f.Servers[n], c, rng, stop) })
+		}
+	}
+	if c.disturb != nil {
+		wg.Go(func() { c.disturb(f, rand.New(rand.NewPCG(seed, 5))) })
+	}
+	begin := time.Now()
+	time.Sleep(limitLength)
+	close(stop)
+	wg.Wait()
+	for _, l := range limitedLoads {
+		for _, n := range f.Plan.Service(l.service).ServerNames() {
+			s := f.Servers[n]
+			w := standin.WorstLimitWindow(s.Arrivals(), s.NamedLimits())
+			assert.Check(t, !w.Violated, "%s got %d requests in the %v from %v, allowed %.1f at a limit of %v",
+				n, w.Got, standin.LimitWindow, w.From.Sub(begin), w.Allowed, w.AtMost)
+		}
+	}
+}
+
+// nameLimits lets a server name the limits of a case until stop is closed.
+func nameLimits(s *standin.Server, c limitCase, rng *rand.Rand, stop <-chan struct{}) {
+	share, limits := c.share, constantLimit
+	if share == 0 {
+		share = 0.4
+	}
+	if c.limit != nil {
+		limits = c.limit
+	}
+	if rng.Float64() > share {
+		return
+	}
+	faults := c.faults
+	for _, text := range limits(rng) {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(500+rng.IntN(3000)) * time.Millisecond):
+		}
+		faults.Limit = text
+		s.SetFaults(faults)
+	}
+}
