pool, home: hold a server to the limit that it names

Cause: the home granted by free slots alone; nobody told it of the limit.

Each server with a limit has a token bucket at the home, the one decider of its pool. Every grant takes a token: first attempts, queued ones, retries, hedges, probes and tests of idle servers all pass Pool.grant, and no server without a token has a free slot, also where the floor or a last resort asks for it. The VM that reads the head of a response tells the home at once if it names another limit than the grant (ReportLimit), so long bodies do not delay it and calm fleets send nothing. A response to a grant from before the limit was set cannot raise it; a lower limit always counts. A limit under 0.2 a second, also 0, is tested at 0.2, since only a response can show its end. A server that has just named a limit starts without tokens.

Ruled out: counting on the VMs that send (44 shares of a limit of 1), and clocks to order responses.

New in the other test: a case of homes that die at gaps of 900 ms, all servers limited, responses late.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -32,6 +32,9 @@
 	Grant() pool.Granted
 	Home() string // Name of the VM that granted the slot.
 	Release(result home.GrantResult)
+	// ReportLimit tells the home that a response names another limit than the grant. It
+	// does not block.
+	ReportLimit(r home.LimitReport)
 }
 
 // Config holds the settings and dependencies of a Dispatcher.
--- a/pkg/dispatch/limits.go
+++ b/pkg/dispatch/limits.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"laburnumpick.org/pkg/home"
+	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/record"
 	"laburnumpick.org/pkg/site"
 )
@@ -94,4 +96,9 @@
 		record.Log("dispatch: server names a limit", "id", j.Request.ID, "service", j.Match.Service, "server", s.Name,
 			"limit", after.limit, "before", before.limit, "status", status)
 	}
+	if l != t.grant.Limit && (err == nil || l.Named) {
+		t.slot.ReportLimit(home.LimitReport{Service: j.Match.Service, Grant: t.grant.ID, Named: pool.NamedLimit{
+			Server: s.Name, StartedMs: s.StartedMs, Limit: l, VM: d.cfg.Holder.VM,
+		}})
+	}
 }
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -214,6 +214,31 @@
 	s.node.sendRelease(s.home, req) // Synchronously: the home must know of the failure before a retry.
 }
 
+// ReportLimit implements dispatch.Slot. A report that is lost needs no retry: the next
+// response of the server leads to another one.
+func (s *slot) ReportLimit(r home.LimitReport) {
+	if s.home.Name == s.node.cfg.Self.Name {
+		s.node.cfg.Home.ReportLimit(r)
+		return
+	}
+	go s.node.sendLimit(s.home, fleetapi.FromLimitReport(r))
+}
+
+func (n *Node) sendLimit(vm roster.VM, req *fleetapi.ReportLimitRequest) {
+	ctx, cancel := context.WithTimeout(n.withToken(context.Background()), releaseTimeout)
+	defer cancel()
+	if _, err := n.client(vm.Address).ReportLimit(ctx, req); err != nil {
+		n.cfg.Scope.Counter("limitReportsLost").Inc(1)
+		record.Log("fleet: limit not reported to the home", "vm", vm.Name, "server", req.GetNamed().GetServer(), "err", err)
+	}
+}
+
+// ReportLimit implements fleetapi.Fleet.
+func (s server) ReportLimit(_ context.Context, req *fleetapi.ReportLimitRequest) (*fleetapi.ReportLimitAnswer, error) {
+	s.node.cfg.Home.ReportLimit(fleetapi.ToLimitReport(req))
+	return &fleetapi.ReportLimitAnswer{}, nil
+}
+
 // Acquire implements fleetapi.Fleet.
 func (s server) Acquire(ctx context.Context, req *fleetapi.AcquireRequest) (*fleetapi.AcquireAnswer, error) {
 	return fleetapi.FromDecision(s.node.cfg.Home.Acquire(ctx, fleetapi.ToSlotRequest(req))), nil
--- a/pkg/fleetapi/grants.go
+++ b/pkg/fleetapi/grants.go
@@ -54,6 +54,7 @@
 		return &AcquireAnswer{Decision: &AcquireAnswer_Grant{Grant: &Grant{
 			Id: int64(d.ID), Server: fromServer(d.Server), PatienceMs: d.Timeout.Milliseconds(),
 			Trial: d.Probe, Suspect: d.Suspect, More: d.MayRetry,
+			Limit: fromRequestLimit(d.Limit),
 		}}}
 	case pool.Waiting:
 		return &AcquireAnswer{Decision: &AcquireAnswer_Wait{Wait: &Wait{Ticket: int64(d.Ticket)}}}
@@ -74,6 +75,7 @@
 			ID: pool.GrantID(d.Grant.GetId()), Server: toServer(d.Grant.GetServer()),
 			Timeout: time.Duration(d.Grant.GetPatienceMs()) * time.Millisecond,
 			Probe:   d.Grant.GetTrial(), Suspect: d.Grant.GetSuspect(), MayRetry: d.Grant.GetMore(),
+			Limit: toRequestLimit(d.Grant.GetLimit()),
 		}, true
 	case *AcquireAnswer_Wait:
 		return pool.Waiting{Ticket: pool.Ticket(d.Wait.GetTicket())}, true
--- /dev/null
+++ b/pkg/fleetapi/limits.go
@@ -0,0 +1,53 @@
+package fleetapi
+
+import (
+	"time"
+
+	"laburnumpick.org/pkg/home"
+	"laburnumpick.org/pkg/pool"
+	"laburnumpick.org/pkg/site"
+)
+
+// fromRequestLimit converts a server's limit on requests. It returns nil if there is
+// none.
+func fromRequestLimit(l site.RequestLimit) *RequestLimit {
+	if !l.Named {
+		return nil
+	}
+	return &RequestLimit{PerSecond: float64(l.Rate)}
+}
+
+// toRequestLimit converts a server's limit on requests; nil means that there is none.
+func toRequestLimit(m *RequestLimit) site.RequestLimit {
+	if m == nil {
+		return site.RequestLimit{}
+	}
+	return site.LimitOf(site.RequestRate(m.GetPerSecond()))
+}
+
+// fromNamedLimit converts a limit that a server has named.
+func fromNamedLimit(n pool.NamedLimit) *NamedLimit {
+	return &NamedLimit{
+		Server: string(n.Server), StartedMs: n.StartedMs, Limit: fromRequestLimit(n.Limit), AgeMs: n.Age.Milliseconds(), Vm: n.VM,
+	}
+}
+
+// toNamedLimit converts a limit that a server has named.
+func toNamedLimit(m *NamedLimit) pool.NamedLimit {
+	return pool.NamedLimit{
+		Server: site.ServerName(m.GetServer()), StartedMs: m.GetStartedMs(), Limit: toRequestLimit(m.GetLimit()),
+		Age: time.Duration(m.GetAgeMs()) * time.Millisecond, VM: m.GetVm(),
+	}
+}
+
+// FromLimitReport converts what a response says about its server's limit.
+func FromLimitReport(r home.LimitReport) *ReportLimitRequest {
+	return &ReportLimitRequest{Service: string(r.Service), Grant: int64(r.Grant), Named: fromNamedLimit(r.Named)}
+}
+
+// ToLimitReport converts what a response says about its server's limit.
+func ToLimitReport(m *ReportLimitRequest) home.LimitReport {
+	return home.LimitReport{
+		Service: site.ServiceName(m.GetService()), Grant: pool.GrantID(m.GetGrant()), Named: toNamedLimit(m.GetNamed()),
+	}
+}
--- /dev/null
+++ b/pkg/home/limits.go
@@ -0,0 +1,42 @@
+package home
+
+import (
+	"time"
+
+	"laburnumpick.org/pkg/pool"
+	"laburnumpick.org/pkg/record"
+	"laburnumpick.org/pkg/site"
+)
+
+// LimitReport tells a home what the response to one of its grants says about the
+// server's limit on requests.
+type LimitReport struct {
+	Service site.ServiceName
+	Grant   pool.GrantID
+	Named   pool.NamedLimit
+}
+
+// ReportLimit processes a report on a server's limit.
+func (h *Home) ReportLimit(r LimitReport) {
+	h.loop.Post(func(now time.Time) {
+		p, ok := h.pools[pool.ID(r.Service)]
+		if !ok {
+			return
+		}
+		if c, changed := p.RecordLimit(now, r.Grant, r.Named); changed {
+			h.reportLimitChanges(now, p, c)
+			h.dispatchQueue(now, p)
+		}
+	})
+}
+
+// reportLimitChanges writes changes of servers' limits to the journal, the log and the
+// metrics.
+func (h *Home) reportLimitChanges(now time.Time, p *ownedPool, changes ...pool.LimitChange) {
+	for _, c := range changes {
+		h.cfg.Scope.Counter("limitChanges").Inc(1)
+		h.cfg.Journal.Add(now, "server "+string(c.Server), "limit on requests per second "+c.Before.String()+" to "+c.After.String()+", as named to VM "+c.NamedTo)
+		record.Log("home: limit of a server changes", "pool", p.ID(), "server", c.Server, "limit", c.After, "before", c.Before,
+			"namedTo", c.NamedTo, "age", c.Age.Round(time.Millisecond))
+	}
+}
--- a/pkg/pool/idle.go
+++ b/pkg/pool/idle.go
@@ -32,6 +32,7 @@
 // Reasons of idle servers.
 const (
 	IdleBusy       IdleReason = "busy"       // Its open slots are in use.
+	IdleLimited    IdleReason = "limited"    // The limit that it names allows no more requests now.
 	IdlePaused     IdleReason = "paused"     // It shed a request, or declined one as cold.
 	IdleProbation  IdleReason = "probation"  // It is suspected or ejected.
 	IdleBackOff    IdleReason = "backOff"    // It is in back-off after a failure.
@@ -41,7 +42,7 @@
 )
 
 // IdleReasons lists all reasons.
-var IdleReasons = []IdleReason{IdleBusy, IdlePaused, IdleProbation, IdleBackOff, IdleRecovering, IdleSlow, IdleUnchosen}
+var IdleReasons = []IdleReason{IdleBusy, IdleLimited, IdlePaused, IdleProbation, IdleBackOff, IdleRecovering, IdleSlow, IdleUnchosen}
 
 // IdleServer is a server that could be used and gets no requests.
 type IdleServer struct {
@@ -79,7 +80,7 @@
 // needsRequest reports whether the server has been without requests for so long that
 // it must get the next one, whatever is held against it.
 func (v *server) needsRequest(now time.Time, atMostOnce bool) bool {
-	if v.inUse >= v.openSlots || (!v.trusted() && v.state != Suspected) {
+	if v.inUse >= v.openSlots || !v.withinLimit(now) || (!v.trusted() && v.state != Suspected) {
 		return false
 	}
 	limit := maxIdle
@@ -118,6 +119,8 @@
 	switch {
 	case v.inUse >= v.openSlots:
 		return IdleBusy
+	case !v.withinLimit(now):
+		return IdleLimited
 	case v.pausedUntil.After(now):
 		return IdlePaused
 	case !v.trusted():
--- a/pkg/pool/intent.go
+++ b/pkg/pool/intent.go
@@ -180,6 +180,12 @@
 	Score     float64     `json:"score"`
 	FailRate  float64     `json:"failRate"`
 	Strikes   int         `json:"strikes"`
+	// Limit is the limit on requests that the server has named, at LimitNamedAt to the VM
+	// LimitNamedTo. LimitedGrants counts the requests granted against it.
+	Limit         site.RequestLimit `json:"limit"`
+	LimitNamedTo  string            `json:"limitNamedTo"`
+	LimitNamedAt  time.Time         `json:"limitNamedAt"`
+	LimitedGrants int               `json:"limitedGrants"`
 }
 
 // View is the state of a pool, for operators.
@@ -196,6 +202,7 @@
 		out.Servers = append(out.Servers, ServerView{
 			Server: v.cfg, State: v.state, Since: v.since, Reason: v.reason, InUse: v.inUse,
 			OpenSlots: v.openSlots, Score: v.score(), FailRate: v.failRate, Strikes: v.strikes,
+			Limit: v.limit, LimitNamedTo: v.namedTo, LimitNamedAt: v.namedAt, LimitedGrants: v.limitedGrants,
 		})
 	}
 	return out
--- /dev/null
+++ b/pkg/pool/limit.go
@@ -0,0 +1,119 @@
+package pool
+
+import (
+	"time"
+
+	"laburnumpick.org/pkg/site"
+)
+
+// Parameters of the pace at which a server with a limit gets requests.
+const (
+	// limitBurst is the time whose requests a server may get at once after a pause. It
+	// makes up for the interval at which the queue is served.
+	limitBurst = 250 * time.Millisecond
+	// minLimitRate is the pace of a server whose limit is lower, even zero. Only a
+	// response can show that the limit has ended.
+	minLimitRate site.RequestRate = 0.2
+	// tokenRounding is what a token may lack by rounding.
+	tokenRounding = 1e-9
+)
+
+// NamedLimit is a limit that a server has named in a response, as a VM knows it.
+type NamedLimit struct {
+	Server    site.ServerName
+	StartedMs int64 // Start time of the server, in Unix milliseconds; 0 if it is configured.
+	Limit     site.RequestLimit
+	Age       time.Duration // Time since the response came, since the clocks of VMs differ.
+	VM        string        // That got the response.
+}
+
+// LimitChange is a change of the limit to which a server is held.
+type LimitChange struct {
+	Server  site.ServerName
+	Before  site.RequestLimit
+	After   site.RequestLimit
+	NamedTo string // The VM that got the response.
+	Age     time.Duration
+}
+
+// pace holds a server to the limit that it has named. It is a token bucket: the requests
+// of all VMs take their tokens from it, since the limit is one for the whole fleet.
+type pace struct {
+	limit   site.RequestLimit
+	namedAt time.Time // When the response that named the limit, or its end, came.
+	namedTo string    // The VM that got that response.
+	// limitGrant is the server's latest grant when the limit was set. Responses to that
+	// and earlier grants may have been given before, so they cannot raise the limit.
+	limitGrant    GrantID
+	limitedGrants int     // Grants since the limit was set.
+	share         float64 // The part of the limit that this home may use.
+	tokens        float64
+	refilledAt    time.Time
+}
+
+// setLimit replaces the limit. A server that had none gets its first request after a
+// whole interval, because others may have been sent to it just now.
+func (c *pace) setLimit(now time.Time, n NamedLimit, last GrantID, share float64) {
+	c.refill(now)
+	if !c.limit.Named {
+		c.tokens = 0
+	}
+	c.limit, c.namedTo, c.share = n.Limit, n.VM, share
+	c.limitGrant, c.limitedGrants = last, 0
+	c.tokens = min(c.tokens, c.burst())
+}
+
+// requestRate returns the rate of requests that this home may send.
+func (c *pace) requestRate() float64 { return float64(max(c.limit.Rate, minLimitRate)) * c.share }
+
+// burst returns how many requests the server may get at once.
+func (c *pace) burst() float64 { return 1 + c.requestRate()*limitBurst.Seconds() }
+
+// refill adds the tokens for the time since the last call.
+func (c *pace) refill(now time.Time) {
+	c.tokens = c.tokensAt(now)
+	c.refilledAt = now
+}
+
+func (c *pace) tokensAt(now time.Time) float64 {
+	return min(c.burst(), c.tokens+now.Sub(c.refilledAt).Seconds()*c.requestRate())
+}
+
+// withinLimit reports whether the server's limit allows a request now.
+func (c *pace) withinLimit(now time.Time) bool {
+	return !c.limit.Named || c.tokensAt(now) >= 1-tokenRounding
+}
+
+// takeToken counts a request against the limit.
+func (c *pace) takeToken(now time.Time) {
+	if !c.limit.Named {
+		return
+	}
+	c.refill(now)
+	c.tokens--
+	c.limitedGrants++
+}
+
+// RecordLimit applies what the response to a grant of this home says about the server's
+// limit. It reports false if nothing changes.
+func (p *Pool) RecordLimit(now time.Time, g GrantID, n NamedLimit) (LimitChange, bool) {
+	v, ok := p.servers[n.Server]
+	if !ok || v.cfg.StartedMs != n.StartedMs {
+		return LimitChange{}, false
+	}
+	if n.Limit == v.limit {
+		v.namedAt = now.Add(-n.Age)
+		return LimitChange{}, false
+	}
+	if !n.Limit.IsLowerThan(v.limit) && g <= v.limitGrant {
+		return LimitChange{}, false
+	}
+	return p.changeLimit(now, v, n), true
+}
+
+func (p *Pool) changeLimit(now time.Time, v *server, n NamedLimit) LimitChange {
+	c := LimitChange{Server: v.cfg.Name, Before: v.limit, After: n.Limit, NamedTo: n.VM, Age: n.Age}
+	v.setLimit(now, n, v.lastGrant, p.limitShare)
+	v.namedAt = now.Add(-n.Age)
+	return c
+}
--- /dev/null
+++ b/pkg/pool/limit_test.go
@@ -0,0 +1,155 @@
+package pool_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"laburnumpick.org/pkg/pool"
+	"laburnumpick.org/pkg/site"
+)
+
+// nameLimit has the server of a grant name a limit in its response. It reports whether the
+// limit to which the home holds the server has changed.
+func nameLimit(t *testing.T, p *pool.Pool, now time.Time, g pool.Granted, l site.RequestLimit) bool {
+	t.Helper()
+	_, changed := p.RecordLimit(now, g.ID, pool.NamedLimit{Server: g.Server.Name, Limit: l, VM: "vm-1"})
+	return changed
+}
+
+// limitOf returns the limit to which the home holds the first server.
+func limitOf(p *pool.Pool) site.RequestLimit { return p.View().Servers[0].Limit }
+
+// aLimitedPool returns a pool of one server that has named a limit, with no request
+// running.
+func aLimitedPool(t *testing.T, l site.RequestLimit) *pool.Pool {
+	t.Helper()
+	p := newPool(1, 3)
+	g := admit(t, p, start, aRequest("a"))
+	assert.Assert(t, nameLimit(t, p, start, g, l))
+	p.Release(start, g, pool.Served{Rule: reads, Took: time.Millisecond})
+	return p
+}
+
+// TestLimitIsAPaceInEachWindow guards against bursts of requests to a limited server:
+// after the limit is named, after an idle time, and from one window into the next. In
+// no window does it get more than its limit allows and one burst, whatever the requests
+// are (reads, retries, requests that may run once, probes of a suspected server).
+func TestLimitIsAPaceInEachWindow(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rate := rapid.SampledFrom([]float64{0, 0.2, 0.4, 1, 2.1, 7, 40}).Draw(rt, "rate")
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
+		p := newPoolWithFloor(1, 3, func(int) int { return 0 })
+		first := p.Admit(start, aRequest("a")).(pool.Granted)
+		p.RecordLimit(start, first.ID, pool.NamedLimit{Server: first.Server.Name, Limit: site.LimitOf(site.RequestRate(rate))})
+		p.Release(start, first, pool.Served{Rule: reads})
+		var grants []time.Time
+		got := func(now time.Time, g pool.Granted) {
+			grants = append(grants, now)
+			if rng.IntN(4) == 0 {
+				p.Release(now, g, pool.Failed{Rule: reads, Detail: "reset"})
+				return
+			}
+			p.Release(now, g, pool.Served{Rule: reads, Took: time.Millisecond})
+		}
+		now := start
+		for range 1000 {
+			now = now.Add(time.Duration(rng.IntN(20)) * time.Millisecond)
+			if rng.IntN(300) == 0 {
+				now = now.Add(5 * time.Second)
+			}
+			r := aRequest(fmt.Sprint(rng.IntN(3)))
+			r.Deadline, r.NoWait, r.Attempts = now.Add(2*time.Second), rng.IntN(2) == 0, rng.IntN(2)
+			if rng.IntN(2) == 0 {
+				r.Class = site.AtMostOnce
+			}
+			if g, ok := p.Admit(now, r).(pool.Granted); ok {
+				got(now, g)
+			}
+			for _, w := range p.DispatchQueue(now) {
+				if g, ok := w.Decision.(pool.Granted); ok {
+					got(now, g)
+				}
+			}
+			p.Tick(now)
+		}
+		const floorRate, burst = 0.2, 0.25
+		effective := max(rate, floorRate)
+		for i := range grants {
+			for j := i; j < len(grants); j++ {
+				length := grants[j].Sub(grants[i]).Seconds()
+				allowed := effective*(length+burst) + 1 + 1e-6
+				if n := float64(j - i + 1); n > allowed {
+					rt.Fatalf("%v requests in %.3f s, %.2f allowed", n, length, allowed)
+				}
+			}
+		}
+		if rate >= 1 && len(grants) < 10 {
+			rt.Fatalf("only %d requests at a limit of %v", len(grants), rate)
+		}
+	})
+}
+
+// TestOlderResponseDoesNotRaiseTheLimit guards against a response that a server gave
+// before it named its limit, and that lifts the limit because it came late.
+func TestOlderResponseDoesNotRaiseTheLimit(t *testing.T) {
+	p := newPool(1, 3)
+	early, late := admit(t, p, start, aRequest("a")), admit(t, p, start, aRequest("a"))
+	assert.Assert(t, nameLimit(t, p, start, late, site.LimitOf(1)))
+	for _, l := range []site.RequestLimit{{}, site.LimitOf(5)} {
+		assert.Assert(t, !nameLimit(t, p, start, early, l), "raised to %v", l)
+	}
+	assert.Equal(t, limitOf(p), site.LimitOf(1))
+	assert.Assert(t, nameLimit(t, p, start, early, site.LimitOf(0.5)), "a lower limit always counts")
+	p.Release(start, early, pool.Served{Rule: reads})
+	p.Release(start, late, pool.Served{Rule: reads})
+	now := start.Add(2 * time.Second)
+	next := admit(t, p, now, aRequest("a"))
+	assert.Assert(t, nameLimit(t, p, now, next, site.LimitOf(5)))
+	assert.Equal(t, limitOf(p), site.LimitOf(5))
+}
+
+// TestLimitEnds guards against a server that is held to a limit that it names no more,
+// or that it named before it started again.
+func TestLimitEnds(t *testing.T) {
+	t.Run("a response without it", func(t *testing.T) {
+		p := aLimitedPool(t, site.LimitOf(1))
+		now := start.Add(time.Second)
+		g := admit(t, p, now, aRequest("a"))
+		assert.Equal(t, g.Limit, site.LimitOf(1))
+		assert.Assert(t, nameLimit(t, p, now, g, site.RequestLimit{}))
+		for range 2 {
+			assert.Equal(t, admit(t, p, now, aRequest("a")).Limit, site.RequestLimit{})
+		}
+	})
+	t.Run("a limit of zero is tested", func(t *testing.T) {
+		p := aLimitedPool(t, site.LimitOf(0))
+		admit(t, p, start.Add(5*time.Second), aRequest("a"))
+	})
+	t.Run("a new start", func(t *testing.T) {
+		p := aLimitedPool(t, site.LimitOf(1))
+		s := p.View().Servers[0].Server
+		s.StartedMs = 7
+		p.Configure(start, pool.Settings{ScoreThreshold: 10, Retry: pool.DefaultRetryLimits}, []pool.Member{{Server: s}})
+		assert.Equal(t, limitOf(p), site.RequestLimit{})
+		_, changed := p.RecordLimit(start, 1, pool.NamedLimit{Server: s.Name, Limit: site.LimitOf(1)})
+		assert.Assert(t, !changed, "a response of the earlier start")
+	})
+}
+
+// TestLimitGoesBeforeTheFloor guards against a server that gets more than its limit
+// because it has been idle, is suspected, or is the last one left.
+func TestLimitGoesBeforeTheFloor(t *testing.T) {
+	p := aLimitedPool(t, site.LimitOf(0.4))
+	now := start.Add(2 * time.Second) // Past the time that a server goes without requests.
+	r := aRequest("a")
+	r.NoWait = true
+	_, refused := p.Admit(now, r).(pool.Refused)
+	assert.Assert(t, refused)
+	assert.DeepEqual(t, reasons(p.IdleServers(now.Add(time.Millisecond))), []pool.IdleReason{pool.IdleLimited})
+	admit(t, p, start.Add(2500*time.Millisecond), r)
+}
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -63,6 +63,9 @@
 	Suspect  bool          // The request has crashed a server (Request.Suspect).
 	Timeout  time.Duration // How long the server may stay silent before the request is sent elsewhere.
 	MayRetry bool          // The request may be sent to another server after this one.
+	// Limit is the limit to which the server is held. A VM whose response names another
+	// one tells the home (RecordLimit).
+	Limit site.RequestLimit
 }
 
 // Waiting means that the request is queued. DispatchQueue or CancelWait ends the
@@ -127,6 +130,7 @@
 	// lastRepeatable is when the last repeatable request came.
 	lastRepeatable time.Time
 	lastSweep      time.Time // When the queue was last swept for requests that cannot be served in time.
+	limitShare     float64   // The part of the servers' limits that this home may use.
 	slowResponses  window    // All responses; the very slow ones are the marked ones.
 }
 
@@ -150,6 +154,7 @@
 		queue:         newQueue(),
 		budget:        newBudget(now, set.Retry),
 		slowResponses: newWindow(slowWindowParts),
+		limitShare:    1,
 		grants:        make(map[GrantID]*outstanding),
 		latencies:     make(map[site.RuleName]latencyEstimate),
 		meanMs:        float64(initialLatency.Milliseconds()),
@@ -343,6 +348,7 @@
 	v.inUse++
 	v.lastGrant = p.seq
 	v.grantedAt = now
+	v.takeToken(now)
 	v.probing = v.probing || probe
 	v.runsSuspect = v.runsSuspect || r.Suspect
 	if r.Attempts > 0 {
@@ -351,6 +357,7 @@
 	g := Granted{
 		ID: p.seq, Server: v.cfg, Probe: probe, Suspect: r.Suspect,
 		MayRetry: r.Class == site.Repeatable && (r.MaxAttempts == 0 || r.Attempts+1 < r.MaxAttempts) && p.budget.allowsRetry(now),
+		Limit:    v.limit,
 	}
 	g.Timeout = p.timeout(now, r, probe)
 	p.grants[g.ID] = &outstanding{grant: g, server: v, key: r.Key, rule: r.Rule, vm: r.VM, grantedAt: now, deadline: r.Deadline}
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -58,6 +58,7 @@
 	moved       bool      // Another server has its address.
 	backOff               // After a failure.
 	slowness              // After a slow response.
+	pace                  // While the server names a limit on requests.
 
 	link
 	detector
@@ -82,11 +83,14 @@
 func (v *server) trusted() bool { return v.state == Healthy || v.state == Warming }
 
 // hasFreeSlot reports whether the server has a free slot for a request that is not a
-// probe. With lastResort, suspected servers and servers in back-off are included.
+// probe. The limit that the server names goes before all else. With lastResort, suspected servers and servers in back-off are included.
 // Servers that need a request always are; while the pool is overloaded, so are servers
 // in back-off, for one request each.
 func (v *server) hasFreeSlot(k ranking, lastResort bool) bool {
 	now := k.now
+	if !v.withinLimit(now) {
+		return false
+	}
 	if k.testsIdle && v.needsRequest(now, k.atMostOnce) {
 		return true
 	}
@@ -134,7 +138,7 @@
 // probeDue reports whether a repeatable request should probe the server now.
 func (v *server) probeDue(now time.Time) bool {
 	onProbation := v.state == Suspected || v.state == Ejected || (v.state == Leaving && !v.departing)
-	return onProbation && !v.probing && v.inUse < v.openSlots && !now.Before(v.nextProbe)
+	return onProbation && !v.probing && v.inUse < v.openSlots && v.withinLimit(now) && !now.Before(v.nextProbe)
 }
 
 // setState changes the server's state and resets what belongs to the previous one.
--- a/pkg/trial/limits_of_servers_test.go
+++ b/pkg/trial/limits_of_servers_test.go
@@ -91,6 +91,13 @@
 			f.Kill(servingHome(f, limitedLoads[i%2].service))
 		}
 	}},
+	{name: "homes die shortly one after the other, late responses", share: 1, faults: standin.Faults{SlowFactor: 12}, disturb: func(f *trial.Fleet, _ *rand.Rand) {
+		time.Sleep(7 * time.Second)
+		for range 4 {
+			f.Kill(servingHome(f, "packshelf"))
+			time.Sleep(900 * time.Millisecond)
+		}
+	}},
 	{name: "homes pause and resume", disturb: func(f *trial.Fleet, rng *rand.Rand) {
 		for i := range 4 {
 			time.Sleep(3 * time.Second)
