pool, fleet, dispatch: a limit outlives the home that heard of it

Cause: the limit was in the memory of one home only.

Now three parties know it. The home tells its standby each 500 ms with the failure streaks (pool.StandbyState); a VM names the limits that servers told it in its requests for slots, at once where they have changed and else each 250 ms and home, so a home decides on no request of a VM that was told with less knowledge than that VM; and it remembers them for 30 s. What other VMs say only lowers a limit, and only if it is newer: responses to a home's own grants raise it. A limit adopted from others starts without tokens. The standby is now the next candidate that answers: the second of several homes that die had shared its state with the first, which was dead.

Ruled out: clocks (ages travel instead), gossip to all VMs (ends would need an order among all of them).

--- a/_scripts/prove.sh
+++ b/_scripts/prove.sh
@@ -71,7 +71,7 @@
 mutant "one successful response ends a failure streak" pool/backoff.go 's/successesToRecover = 2/successesToRecover = 1/' pool 'TestOneGoodResponse'
 mutant "slow servers treated like others" pool/choose.go 's/k\.atMostOnce \&\& v\.isSlow\(k\.now\)/false/' pool 'TestSlowServersGetFew'
 mutant "a broken link of one VM counted against the server" pool/link.go 's/vm == l\.failedVM \&\& l\.answeredElsewhere/false/' pool 'TestServerWithOneBrokenLink'
-mutant "failure streaks not sent to the standby" home/share.go 's/len\(streaks\) > 0/len(streaks) > 1000/' trial 'TestStandbyKnows'
+mutant "failure streaks not sent to the standby" home/share.go 's/!state\.IsEmpty\(\)/false/' trial 'TestStandbyKnows'
 mutant "data centres discover each other late" roster/roster.go 's/\(r\.onlyNear\(\) \&\& r\.heartbeats%2 == 1\)/false/' roster 'TestDataCentresMeet'
 mutant "heavy pools on undersized VMs" roster/view.go 's/w\.undersized = 1/w.undersized = 0/' roster 'TestHeavyPools'
 mutant "budget spent twice by two homes" pool/budget.go 's/retriesAfterTakeover = 2/retriesAfterTakeover = 99/' pool 'TestSuccessiveHomes'
--- a/pkg/dispatch/limits.go
+++ b/pkg/dispatch/limits.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,6 +69,21 @@
 	return before, after
 }
 
+// of returns the limits of a service's servers, as vm got them.
+func (o *observedLimits) of(now time.Time, n site.ServiceName, vm string) []pool.NamedLimit {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []pool.NamedLimit
+	for id, l := range o.servers {
+		if id.service != n || !l.limit.Named || now.Sub(l.namedAt) > limitMemory {
+			continue
+		}
+		out = append(out, pool.NamedLimit{Server: id.server, StartedMs: l.startedMs, Limit: l.limit, Age: now.Sub(l.namedAt), VM: vm})
+	}
+	slices.SortFunc(out, func(a, b pool.NamedLimit) int { return cmp.Compare(a.Server, b.Server) })
+	return out
+}
+
 // forgetOld removes the limits that are older than limitMemory.
 func (o *observedLimits) forgetOld(now time.Time) {
 	for id, l := range o.servers {
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -157,10 +157,17 @@
 	}
 	ctx, cancel := context.WithTimeout(n.withToken(ctx), limit)
 	defer cancel()
-	reply, err := n.client(vm.Address).Acquire(ctx, fleetapi.FromSlotRequest(req))
+	call := *req
+	if !n.limitsTold.isDue(time.Now(), vm.Name, req) {
+		call.Limits = nil
+	}
+	reply, err := n.client(vm.Address).Acquire(ctx, fleetapi.FromSlotRequest(&call))
 	if err != nil {
 		return nil, err
 	}
+	if call.Limits != nil {
+		n.limitsTold.record(time.Now(), vm.Name, req)
+	}
 	d, ok := fleetapi.ToDecision(reply)
 	if !ok {
 		return nil, errors.New("the reply of the pool's home contains no decision")
--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -84,6 +84,7 @@
 
 	mu           sync.Mutex // Guards clients.
 	clients      map[string]fleetapi.Fleet
+	limitsTold   *limitsTold
 	unresponsive *control.TTLSet[roster.VMName] // VMs that recently did not answer as homes.
 
 	unknownSince map[string]time.Time // When a listed VM was first dead or missing in the roster; owned by the goroutine that reads the list.
@@ -103,6 +104,7 @@
 		gossip:       newGossip(),
 		wantAll:      true,
 		clients:      make(map[string]fleetapi.Fleet),
+		limitsTold:   newLimitsTold(),
 		unresponsive: control.NewTTLSet[roster.VMName](unresponsivePenalty),
 		sending:      make(map[roster.VMName]bool),
 		unknownSince: make(map[string]time.Time),
--- a/pkg/fleet/share.go
+++ b/pkg/fleet/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"laburnumpick.org/pkg/fleetapi"
 	"laburnumpick.org/pkg/pool"
@@ -11,26 +12,28 @@
 )
 
 // Standby returns the VM that takes over a service's pool from this one: the
-// first candidate for its home other than this VM, or "" if there is none. If
-// this VM is no longer the first candidate, it returns the new home.
+// first candidate for its home other than this VM that answers, or "" if there is
+// none. If this VM is no longer the first candidate, it returns the new home.
 func (n *Node) Standby(svc site.ServiceName) string {
 	if n.cfg.Standalone {
 		return ""
 	}
+	now := time.Now()
 	for _, vm := range n.rankedHomes(svc) {
-		if vm.Name != n.cfg.Self.Name {
+		if vm.Name != n.cfg.Self.Name && !n.unresponsive.Has(now, vm.Name) {
 			return string(vm.Name)
 		}
 	}
 	return ""
 }
 
-// ShareFailureStreaks sends the failure streaks of a service's servers to a VM.
-// If the call fails, that VM detects the failing servers by failed requests.
-func (n *Node) ShareFailureStreaks(svc site.ServiceName, to string, streaks []pool.FailureStreak) {
+// Share sends what this VM knows as the home of a service's pool to another VM. If the
+// call fails, that VM detects the failing servers by failed requests, and gets the
+// limits from the VMs that request slots.
+func (n *Node) Share(svc site.ServiceName, to string, s pool.StandbyState) {
 	for _, vm := range n.rankedHomes(svc) {
 		if vm.Name == roster.VMName(to) {
-			n.sendShare(vm, fleetapi.FromFailureStreaks(svc, streaks))
+			n.sendShare(vm, fleetapi.FromStandbyState(svc, s))
 		}
 	}
 }
@@ -40,12 +43,13 @@
 	defer cancel()
 	if _, err := n.client(vm.Address).Share(ctx, req); err != nil {
 		n.cfg.Scope.Counter("sharesLost").Inc(1)
-		record.Log("fleet: failure streaks not sent to the standby", "vm", vm.Name, "service", req.GetService(), "err", err)
+		n.unresponsive.Add(time.Now(), vm.Name)
+		record.Log("fleet: state not sent to the standby", "vm", vm.Name, "service", req.GetService(), "err", err)
 	}
 }
 
 // Share implements fleetapi.Fleet.
 func (s server) Share(_ context.Context, req *fleetapi.ShareRequest) (*fleetapi.ShareAnswer, error) {
-	s.node.cfg.Home.MergeFailureStreaks(site.ServiceName(req.GetService()), fleetapi.ToFailureStreaks(req))
+	s.node.cfg.Home.MergeStandbyState(site.ServiceName(req.GetService()), fleetapi.ToStandbyState(req))
 	return &fleetapi.ShareAnswer{}, nil
 }
--- a/pkg/fleetapi/grants.go
+++ b/pkg/fleetapi/grants.go
@@ -19,6 +19,7 @@
 		Priority: int32(a.Priority), LeftMs: a.Left.Milliseconds(), TargetLeftMs: a.TargetLeft.Milliseconds(),
 		Fingerprint: string(a.Fingerprint), Sends: int32(a.Attempts), Attempts: int32(a.MaxAttempts), Ticket: int64(a.Ticket),
 		AtOnce: a.NoWait, Known: a.AlreadyCounted, Key: string(a.Key), Vm: a.VM,
+		Limits: fromNamedLimits(a.Limits),
 	}
 	for _, n := range a.Exclude {
 		req.Exclude = append(req.Exclude, string(n))
@@ -37,6 +38,7 @@
 		Fingerprint: quarantine.Fingerprint(m.GetFingerprint()), Attempts: int(m.GetSends()),
 		MaxAttempts: int(m.GetAttempts()), Ticket: pool.Ticket(m.GetTicket()),
 		NoWait: m.GetAtOnce(), AlreadyCounted: m.GetKnown(), Key: pool.IdempotencyKey(m.GetKey()), VM: m.GetVm(),
+		Limits: toNamedLimits(m.GetLimits()),
 	}
 	if m.GetRepeatable() {
 		a.Class = site.Repeatable
@@ -171,10 +173,10 @@
 	return e
 }
 
-// FromFailureStreaks converts the failure streaks that a home has recorded.
-func FromFailureStreaks(n site.ServiceName, streaks []pool.FailureStreak) *ShareRequest {
-	req := &ShareRequest{Service: string(n)}
-	for _, s := range streaks {
+// FromStandbyState converts what a home tells its standby.
+func FromStandbyState(n site.ServiceName, state pool.StandbyState) *ShareRequest {
+	req := &ShareRequest{Service: string(n), Limits: fromNamedLimits(state.Limits)}
+	for _, s := range state.FailureStreaks {
 		req.Spells = append(req.Spells, &Spell{
 			Server: string(s.Server), Failures: int32(s.Failures), RestMs: s.BackOff.Milliseconds(), AgeMs: s.Age.Milliseconds(),
 		})
@@ -182,11 +184,11 @@
 	return req
 }
 
-// ToFailureStreaks converts the failure streaks that a home has recorded.
-func ToFailureStreaks(m *ShareRequest) []pool.FailureStreak {
-	out := make([]pool.FailureStreak, 0, len(m.GetSpells()))
+// ToStandbyState converts what a home tells its standby.
+func ToStandbyState(m *ShareRequest) pool.StandbyState {
+	out := pool.StandbyState{Limits: toNamedLimits(m.GetLimits())}
 	for _, s := range m.GetSpells() {
-		out = append(out, pool.FailureStreak{
+		out.FailureStreaks = append(out.FailureStreaks, pool.FailureStreak{
 			Server: site.ServerName(s.GetServer()), Failures: int(s.GetFailures()),
 			BackOff: time.Duration(s.GetRestMs()) * time.Millisecond, Age: time.Duration(s.GetAgeMs()) * time.Millisecond,
 		})
--- a/pkg/fleetapi/limits.go
+++ b/pkg/fleetapi/limits.go
@@ -40,6 +40,24 @@
 	}
 }
 
+// fromNamedLimits converts limits that servers have named.
+func fromNamedLimits(limits []pool.NamedLimit) []*NamedLimit {
+	var out []*NamedLimit
+	for _, n := range limits {
+		out = append(out, fromNamedLimit(n))
+	}
+	return out
+}
+
+// toNamedLimits converts limits that servers have named.
+func toNamedLimits(ms []*NamedLimit) []pool.NamedLimit {
+	var out []pool.NamedLimit
+	for _, m := range ms {
+		out = append(out, toNamedLimit(m))
+	}
+	return out
+}
+
 // FromLimitReport converts what a response says about its server's limit.
 func FromLimitReport(r home.LimitReport) *ReportLimitRequest {
 	return &ReportLimitRequest{Service: string(r.Service), Grant: int64(r.Grant), Named: fromNamedLimit(r.Named)}
--- a/pkg/home/grant.go
+++ b/pkg/home/grant.go
@@ -44,6 +44,7 @@
 	Ticket         pool.Ticket         // Of the queued request that this call polls; zero for a new request.
 	NoWait         bool                // Refuse the request instead of queueing it.
 	Key            pool.IdempotencyKey // Idempotency key that is still to be claimed; empty if there is none.
+	Limits         []pool.NamedLimit   // Limits that the service's servers have named to the requesting VM.
 }
 
 // poolRequest converts the request to the pool's form, with absolute deadlines.
@@ -75,6 +76,7 @@
 	ok := h.loop.Do(ctx, func(at time.Time) {
 		p := h.pool(at, pool.ID(req.Service))
 		p.lastRequested = at
+		h.reportLimitChanges(at, p, p.MergeLimits(at, req.Limits)...)
 		if req.Ticket != 0 {
 			w = p.waiting[req.Ticket]
 			if w == nil {
--- a/pkg/home/home.go
+++ b/pkg/home/home.go
@@ -51,9 +51,8 @@
 	// Standby returns the VM that takes over a service's pool if this one fails,
 	// or "" if there is none.
 	Standby func(site.ServiceName) string
-	// ShareFailureStreaks sends the failure streaks of a service's servers to a
-	// VM.
-	ShareFailureStreaks func(n site.ServiceName, vm string, streaks []pool.FailureStreak)
+	// Share sends what the home knows of a service's servers to a VM.
+	Share func(n site.ServiceName, vm string, s pool.StandbyState)
 }
 
 // Home manages the pools that this VM owns.
@@ -76,8 +75,8 @@
 	registryGeneration int64           // Generation of the registry that the pool was last updated from.
 	lastUsed           time.Time
 	lastRequested      time.Time // When a slot was last requested.
-	lastShared         time.Time // When failure streaks were last sent to the standby.
-	standby            string    // The VM that failure streaks were last sent to.
+	lastShared         time.Time // When the standby was last told.
+	standby            string    // The VM that was last told.
 	waiting            map[pool.Ticket]*waiter
 	recordRequested    bool // A read of the record of servers that are out was started.
 }
@@ -110,7 +109,7 @@
 		h.dropLostWaiters(now, p)
 		h.dispatchQueue(now, p)
 		h.carryOutIntents(now, p)
-		h.shareFailureStreaks(now, p)
+		h.shareWithStandby(now, p)
 		h.logIdleServers(now, p)
 	}
 	if now.Sub(h.gaugesUpdated) >= gaugeInterval {
--- a/pkg/pool/limit.go
+++ b/pkg/pool/limit.go
@@ -117,3 +117,33 @@
 	v.namedAt = now.Add(-n.Age)
 	return c
 }
+
+// namedLimits returns the limits in force.
+func (p *Pool) namedLimits(now time.Time) []NamedLimit {
+	var out []NamedLimit
+	for _, v := range p.order {
+		if v.limit.Named {
+			out = append(out, NamedLimit{
+				Server: v.cfg.Name, StartedMs: v.cfg.StartedMs, Limit: v.limit, Age: now.Sub(v.namedAt), VM: v.namedTo,
+			})
+		}
+	}
+	return out
+}
+
+// MergeLimits applies limits that other VMs know, and returns those that change. They
+// may be out of date, so they only lower a limit, and only if they are newer than what
+// this home knows. The responses to its own grants raise it again.
+func (p *Pool) MergeLimits(now time.Time, limits []NamedLimit) []LimitChange {
+	var out []LimitChange
+	for _, n := range limits {
+		v, ok := p.servers[n.Server]
+		if !ok || v.cfg.StartedMs != n.StartedMs || !n.Limit.IsLowerThan(v.limit) {
+			continue
+		}
+		if now.Add(-n.Age).After(v.namedAt) {
+			out = append(out, p.changeLimit(now, v, n))
+		}
+	}
+	return out
+}
--- a/pkg/pool/limit_test.go
+++ b/pkg/pool/limit_test.go
@@ -153,3 +153,51 @@
 	assert.DeepEqual(t, reasons(p.IdleServers(now.Add(time.Millisecond))), []pool.IdleReason{pool.IdleLimited})
 	admit(t, p, start.Add(2500*time.Millisecond), r)
 }
+
+// TestOtherVMsLimitsOnlyLowerTheLimit guards against a VM with outdated knowledge that
+// lifts the limit which the home has heard since, or brings back one that has ended.
+func TestOtherVMsLimitsOnlyLowerTheLimit(t *testing.T) {
+	named := func(l site.RequestLimit, age time.Duration) []pool.NamedLimit {
+		return []pool.NamedLimit{{Server: "s-0", Limit: l, Age: age, VM: "vm-2"}}
+	}
+	now := start.Add(10 * time.Second)
+	for _, c := range []struct {
+		name   string
+		known  []site.RequestLimit // In responses to this home's grants, at start and two seconds later.
+		merged []pool.NamedLimit
+		want   site.RequestLimit
+	}{
+		{"a new home", nil, named(site.LimitOf(2), 20*time.Second), site.LimitOf(2)},
+		{"lower and newer", []site.RequestLimit{site.LimitOf(3)}, named(site.LimitOf(2), time.Second), site.LimitOf(2)},
+		{"lower and older", []site.RequestLimit{site.LimitOf(3)}, named(site.LimitOf(2), 11*time.Second), site.LimitOf(3)},
+		{"higher and newer", []site.RequestLimit{site.LimitOf(1)}, named(site.LimitOf(2), time.Second), site.LimitOf(1)},
+		{"none and newer", []site.RequestLimit{site.LimitOf(1)}, named(site.RequestLimit{}, time.Second), site.LimitOf(1)},
+		{"ended since", []site.RequestLimit{site.LimitOf(1), {}}, named(site.LimitOf(1), 9*time.Second), site.RequestLimit{}},
+		{"unknown server", nil, []pool.NamedLimit{{Server: "s-9", Limit: site.LimitOf(1)}}, site.RequestLimit{}},
+		{"another start of the server", nil, []pool.NamedLimit{{Server: "s-0", StartedMs: 5, Limit: site.LimitOf(1)}}, site.RequestLimit{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPool(1, 3)
+			for i, l := range c.known {
+				at := start.Add(time.Duration(2*i) * time.Second)
+				nameLimit(t, p, at, admit(t, p, at, aRequest("a")), l)
+			}
+			p.MergeLimits(now, c.merged)
+			assert.Equal(t, limitOf(p), c.want)
+		})
+	}
+}
+
+// TestStandbyKnowsLimits guards against a VM that takes over a pool and sends each server
+// requests until it hears of its limit.
+func TestStandbyKnowsLimits(t *testing.T) {
+	home, next := aLimitedPool(t, site.LimitOf(1)), newPool(1, 3)
+	now := start.Add(time.Second)
+	next.MergeStandbyState(now, home.StandbyState(now, now))
+	assert.Equal(t, limitOf(next), site.LimitOf(1))
+	r := aRequest("a")
+	r.NoWait = true
+	_, refused := next.Admit(now, r).(pool.Refused)
+	assert.Assert(t, refused, "the server may have got a request from the former home just now")
+	admit(t, next, now.Add(time.Second), r)
+}
