fleet, roster, home: VMs that decide at once share a server's limit

Cause: the limit belongs to the fleet, but each home took it for its own.

The first candidate uses the part of the fleet that it sees (VMs that fell silent without a planned stop in the last minute count as living behind a cut), the second a quarter while the first is a member, the next ones half of the one before, all other VMs together a sixteenth, a VM that hears of no other its own share. The home's reply to a request for a slot now carries the limits in force when they have changed, so each VM that uses a service knows them before it is alone, and drops those that have ended. What a VM knows moved from the dispatcher to package fleet, beside what the homes know.

Ruled out: leases on parts of the limit (their holder may be paused), no use of limited servers while in doubt (a home's death would take all of them).

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -260,11 +260,12 @@
 	d.home = home.New(home.Config{
 		VM: set.VM.Name, Site: site.Name(set.VM.Site), Dial: nw.Dial, Store: p.Store,
 		Replica: d.replica, Registry: d.registry, Journal: jr, Scope: d.tel.Scope.SubScope("home"),
-		Retry:     d.retryLimits,
-		OnLoss:    func(l quarantine.Loss) { d.node.BroadcastLoss(context.Background(), l) },
-		OnCleared: func(r quarantine.Release) { d.node.BroadcastRelease(r) },
-		Standby:   func(n site.ServiceName) string { return d.node.Standby(n) },
-		Share:     func(n site.ServiceName, vm string, s pool.StandbyState) { d.node.Share(n, vm, s) },
+		Retry:      d.retryLimits,
+		OnLoss:     func(l quarantine.Loss) { d.node.BroadcastLoss(context.Background(), l) },
+		OnCleared:  func(r quarantine.Release) { d.node.BroadcastRelease(r) },
+		LimitShare: func(n site.ServiceName) float64 { return d.node.LimitShare(n) },
+		Standby:    func(n site.ServiceName) string { return d.node.Standby(n) },
+		Share:      func(n site.ServiceName, vm string, s pool.StandbyState) { d.node.Share(n, vm, s) },
 	})
 	d.node = fleet.NewNode(now, d.nodeConfig(nw, p, self, jr))
 	d.dispatcher = dispatch.New(dispatch.Config{
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -32,9 +32,9 @@
 	Grant() pool.Granted
 	Home() string // Name of the VM that granted the slot.
 	Release(result home.GrantResult)
-	// ReportLimit tells the home that a response names another limit than the grant. It
-	// does not block.
-	ReportLimit(r home.LimitReport)
+	// ObserveLimit records what a response to the grant says about the limit of the
+	// service's server. It does not block.
+	ObserveLimit(n site.ServiceName, o ObservedLimit)
 }
 
 // Config holds the settings and dependencies of a Dispatcher.
@@ -59,7 +59,6 @@
 	ledger  *claim.Ledger
 	claimed *claimedRequests
 	avoided *control.TTLSet[site.ServerName] // Servers that this VM recently could not reach or got no response from.
-	limits  *observedLimits
 
 	mu    sync.Mutex // Guards pools.
 	pools map[string]*backend.ConnPool
@@ -70,7 +69,7 @@
 	l := claim.NewLedger(cfg.Store, cfg.Holder)
 	return &Dispatcher{
 		cfg: cfg, ledger: l, claimed: newClaimedRequests(l, cfg.Journal), avoided: control.NewTTLSet[site.ServerName](avoidTime),
-		limits: newObservedLimits(), pools: make(map[string]*backend.ConnPool),
+		pools: make(map[string]*backend.ConnPool),
 	}
 }
 
--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -77,7 +77,7 @@
 		RequestID: j.Request.ID, Service: j.Match.Service, VM: d.cfg.Holder.VM, DataCentre: d.cfg.DataCentre, Account: j.Account,
 		Class: j.Match.Class, Rule: j.Match.Rule, Priority: j.Match.Priority, Fingerprint: j.Fingerprint,
 		Exclude: append(slices.Clone(res.ExcludedServers), d.avoided.All(now)...), AlreadyCounted: res.SlotRequests > 0, Attempts: res.Attempts, MaxAttempts: j.Match.Attempts, NoWait: noWait,
-		Key: j.unclaimedKey(d.cfg.Site, res), Limits: d.limits.of(now, j.Match.Service, d.cfg.Holder.VM),
+		Key: j.unclaimedKey(d.cfg.Site, res),
 	}
 	res.SlotRequests++
 	if deadline, ok := ctx.Deadline(); ok {
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -148,8 +148,10 @@
 
 // acquireOnce makes one call to a home, which may be this VM.
 func (n *Node) acquireOnce(ctx context.Context, vm roster.VM, req *home.SlotRequest) (pool.Decision, error) {
+	sentAt := time.Now()
+	req = n.limits.forRequest(sentAt, vm.Name, req)
 	if vm.Name == n.cfg.Self.Name {
-		return n.cfg.Home.Acquire(ctx, req), nil
+		return n.cfg.Home.Acquire(ctx, req).Decision, nil
 	}
 	limit := acquireTimeout
 	if req.Ticket != 0 {
@@ -157,22 +159,16 @@
 	}
 	ctx, cancel := context.WithTimeout(n.withToken(ctx), limit)
 	defer cancel()
-	call := *req
-	if !n.limitsTold.isDue(time.Now(), vm.Name, req) {
-		call.Limits = nil
-	}
-	reply, err := n.client(vm.Address).Acquire(ctx, fleetapi.FromSlotRequest(&call))
+	reply, err := n.client(vm.Address).Acquire(ctx, fleetapi.FromSlotRequest(req))
 	if err != nil {
 		return nil, err
 	}
-	if call.Limits != nil {
-		n.limitsTold.record(time.Now(), vm.Name, req)
-	}
-	d, ok := fleetapi.ToDecision(reply)
+	r, ok := fleetapi.ToReply(reply)
 	if !ok {
 		return nil, errors.New("the reply of the pool's home contains no decision")
 	}
-	return d, nil
+	n.limits.handleReply(time.Now(), sentAt, vm.Name, req, r.Limits)
+	return r.Decision, nil
 }
 
 // abandonTicket informs a home that a queued request is no longer waited for.
@@ -221,9 +217,8 @@
 	s.node.sendRelease(s.home, req) // Synchronously: the home must know of the failure before a retry.
 }
 
-// ReportLimit implements dispatch.Slot. A report that is lost needs no retry: the next
-// response of the server leads to another one.
-func (s *slot) ReportLimit(r home.LimitReport) {
+// reportLimit tells the home what a response says about its server's limit.
+func (s *slot) reportLimit(r home.LimitReport) {
 	if s.home.Name == s.node.cfg.Self.Name {
 		s.node.cfg.Home.ReportLimit(r)
 		return
@@ -248,7 +243,7 @@
 
 // Acquire implements fleetapi.Fleet.
 func (s server) Acquire(ctx context.Context, req *fleetapi.AcquireRequest) (*fleetapi.AcquireAnswer, error) {
-	return fleetapi.FromDecision(s.node.cfg.Home.Acquire(ctx, fleetapi.ToSlotRequest(req))), nil
+	return fleetapi.FromReply(s.node.cfg.Home.Acquire(ctx, fleetapi.ToSlotRequest(req))), nil
 }
 
 // Release implements fleetapi.Fleet.
--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -74,6 +74,7 @@
 	cfg       Config
 	loop      *control.Loop
 	view      atomic.Pointer[roster.View]
+	isolated  atomic.Bool    // Whether the roster considers this VM isolated.
 	behind    chan roster.VM // VMs that have a newer configuration or registry.
 	gossipNow chan struct{}  // Signals that updates are to be pushed at once.
 
@@ -84,7 +85,7 @@
 
 	mu           sync.Mutex // Guards clients.
 	clients      map[string]fleetapi.Fleet
-	limitsTold   *limitsTold
+	limits       *knownLimits
 	unresponsive *control.TTLSet[roster.VMName] // VMs that recently did not answer as homes.
 
 	unknownSince map[string]time.Time // When a listed VM was first dead or missing in the roster; owned by the goroutine that reads the list.
@@ -104,7 +105,7 @@
 		gossip:       newGossip(),
 		wantAll:      true,
 		clients:      make(map[string]fleetapi.Fleet),
-		limitsTold:   newLimitsTold(),
+		limits:       newKnownLimits(cfg.Self.Name),
 		unresponsive: control.NewTTLSet[roster.VMName](unresponsivePenalty),
 		sending:      make(map[roster.VMName]bool),
 		unknownSince: make(map[string]time.Time),
@@ -153,6 +154,7 @@
 	if n.roster.TakeChanged() {
 		n.triggerGossip()
 	}
+	n.isolated.Store(n.roster.Isolated())
 	v := n.roster.View()
 	if old := n.view.Load(); old != v {
 		n.view.Store(v)
--- a/pkg/fleetapi/grants.go
+++ b/pkg/fleetapi/grants.go
@@ -19,7 +19,7 @@
 		Priority: int32(a.Priority), LeftMs: a.Left.Milliseconds(), TargetLeftMs: a.TargetLeft.Milliseconds(),
 		Fingerprint: string(a.Fingerprint), Sends: int32(a.Attempts), Attempts: int32(a.MaxAttempts), Ticket: int64(a.Ticket),
 		AtOnce: a.NoWait, Known: a.AlreadyCounted, Key: string(a.Key), Vm: a.VM,
-		Limits: fromNamedLimits(a.Limits),
+		Limits: fromNamedLimits(a.Limits), LimitVersion: int64(a.LimitVersion),
 	}
 	for _, n := range a.Exclude {
 		req.Exclude = append(req.Exclude, string(n))
@@ -38,7 +38,7 @@
 		Fingerprint: quarantine.Fingerprint(m.GetFingerprint()), Attempts: int(m.GetSends()),
 		MaxAttempts: int(m.GetAttempts()), Ticket: pool.Ticket(m.GetTicket()),
 		NoWait: m.GetAtOnce(), AlreadyCounted: m.GetKnown(), Key: pool.IdempotencyKey(m.GetKey()), VM: m.GetVm(),
-		Limits: toNamedLimits(m.GetLimits()),
+		Limits: toNamedLimits(m.GetLimits()), LimitVersion: pool.LimitVersion(m.GetLimitVersion()),
 	}
 	if m.GetRepeatable() {
 		a.Class = site.Repeatable
@@ -49,8 +49,25 @@
 	return a
 }
 
-// FromDecision converts the decision on a request for a slot.
-func FromDecision(d pool.Decision) *AcquireAnswer {
+// FromReply converts the reply to a request for a slot.
+func FromReply(r home.Reply) *AcquireAnswer {
+	m := fromDecision(r.Decision)
+	m.LimitVersion, m.Limits = int64(r.Limits.Version), fromNamedLimits(r.Limits.Limits)
+	return m
+}
+
+// ToReply converts the reply to a request for a slot. It returns false if the message
+// has no decision.
+func ToReply(m *AcquireAnswer) (home.Reply, bool) {
+	d, ok := toDecision(m)
+	return home.Reply{
+		Decision: d,
+		Limits:   pool.LimitList{Version: pool.LimitVersion(m.GetLimitVersion()), Limits: toNamedLimits(m.GetLimits())},
+	}, ok
+}
+
+// fromDecision converts the decision on a request for a slot.
+func fromDecision(d pool.Decision) *AcquireAnswer {
 	switch d := d.(type) {
 	case pool.Granted:
 		return &AcquireAnswer{Decision: &AcquireAnswer_Grant{Grant: &Grant{
@@ -68,9 +85,9 @@
 	return &AcquireAnswer{}
 }
 
-// ToDecision converts the decision on a request for a slot. It returns false if the
+// toDecision converts the decision on a request for a slot. It returns false if the
 // message has none.
-func ToDecision(m *AcquireAnswer) (pool.Decision, bool) {
+func toDecision(m *AcquireAnswer) (pool.Decision, bool) {
 	switch d := m.GetDecision().(type) {
 	case *AcquireAnswer_Grant:
 		return pool.Granted{
--- a/pkg/home/grant.go
+++ b/pkg/home/grant.go
@@ -44,7 +44,8 @@
 	Ticket         pool.Ticket         // Of the queued request that this call polls; zero for a new request.
 	NoWait         bool                // Refuse the request instead of queueing it.
 	Key            pool.IdempotencyKey // Idempotency key that is still to be claimed; empty if there is none.
-	Limits         []pool.NamedLimit   // Limits that the service's servers have named to the requesting VM.
+	Limits         []pool.NamedLimit   // Limits of the service's servers that the requesting VM knows.
+	LimitVersion   pool.LimitVersion   // Of the limits that the home sent last to the requesting VM.
 }
 
 // poolRequest converts the request to the pool's form, with absolute deadlines.
@@ -69,14 +70,32 @@
 	lastPolled time.Time
 }
 
-// Acquire returns a grant, a refusal, or a ticket with which to poll again.
-func (h *Home) Acquire(ctx context.Context, req *SlotRequest) pool.Decision {
+// Reply is a home's reply to a request for a slot: a grant, a refusal, or a ticket with
+// which to poll again, and the limits of the service's servers if they have changed.
+type Reply struct {
+	Decision pool.Decision
+	Limits   pool.LimitList
+}
+
+// Acquire replies to a request for a slot.
+func (h *Home) Acquire(ctx context.Context, req *SlotRequest) Reply {
+	reply := Reply{Limits: pool.LimitList{Version: req.LimitVersion}}
+	reply.Decision = h.acquire(ctx, req, &reply.Limits)
+	return reply
+}
+
+// acquire decides on a request, and updates the limits that the VM has to those of the
+// pool.
+func (h *Home) acquire(ctx context.Context, req *SlotRequest, limits *pool.LimitList) pool.Decision {
 	var decision pool.Decision
 	var w *waiter
 	ok := h.loop.Do(ctx, func(at time.Time) {
 		p := h.pool(at, pool.ID(req.Service))
 		p.lastRequested = at
-		h.reportLimitChanges(at, p, p.MergeLimits(at, req.Limits)...)
+		h.mergeLimits(at, p, req.Limits)
+		if v := p.LimitVersion(); v != limits.Version {
+			*limits = p.LimitList(at)
+		}
 		if req.Ticket != 0 {
 			w = p.waiting[req.Ticket]
 			if w == nil {
--- a/pkg/home/home.go
+++ b/pkg/home/home.go
@@ -48,6 +48,9 @@
 	Retry     func() pool.RetryLimits
 	OnLoss    func(quarantine.Loss)    // Informs the other VMs that a server crashed during a request.
 	OnCleared func(quarantine.Release) // Informs the other VMs that a request is no longer suspected.
+	// LimitShare returns the part of the servers' limits that this VM may use as the
+	// home of a service's pool, between 0 and 1.
+	LimitShare func(site.ServiceName) float64
 	// Standby returns the VM that takes over a service's pool if this one fails,
 	// or "" if there is none.
 	Standby func(site.ServiceName) string
@@ -105,6 +108,9 @@
 			continue
 		}
 		h.reconfigure(now, p)
+		if p.HasLimits() {
+			h.updateLimitShare(now, p)
+		}
 		h.reportEvents(now, id, p.Tick(now))
 		h.dropLostWaiters(now, p)
 		h.dispatchQueue(now, p)
--- a/pkg/home/limits.go
+++ b/pkg/home/limits.go
@@ -23,6 +23,7 @@
 		if !ok {
 			return
 		}
+		h.updateLimitShare(now, p)
 		if c, changed := p.RecordLimit(now, r.Grant, r.Named); changed {
 			h.reportLimitChanges(now, p, c)
 			h.dispatchQueue(now, p)
@@ -30,6 +31,20 @@
 	})
 }
 
+// mergeLimits applies the limits that other VMs know.
+func (h *Home) mergeLimits(now time.Time, p *ownedPool, limits []pool.NamedLimit) {
+	if len(limits) == 0 {
+		return
+	}
+	h.updateLimitShare(now, p)
+	h.reportLimitChanges(now, p, p.MergeLimits(now, limits)...)
+}
+
+// updateLimitShare sets the part of the servers' limits that this home may use.
+func (h *Home) updateLimitShare(now time.Time, p *ownedPool) {
+	p.SetLimitShare(now, h.cfg.LimitShare(site.ServiceName(p.ID())))
+}
+
 // reportLimitChanges writes changes of servers' limits to the journal, the log and the
 // metrics.
 func (h *Home) reportLimitChanges(now time.Time, p *ownedPool, changes ...pool.LimitChange) {
--- a/pkg/home/share.go
+++ b/pkg/home/share.go
@@ -39,6 +39,7 @@
 func (h *Home) MergeStandbyState(n site.ServiceName, s pool.StandbyState) {
 	h.loop.Post(func(now time.Time) {
 		p := h.pool(now, pool.ID(n))
-		h.reportLimitChanges(now, p, p.MergeStandbyState(now, s)...)
+		p.MergeFailureStreaks(now, s.FailureStreaks)
+		h.mergeLimits(now, p, s.Limits)
 	})
 }
--- a/pkg/pool/limit.go
+++ b/pkg/pool/limit.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"laburnumpick.org/pkg/site"
@@ -27,6 +28,16 @@
 	VM        string        // That got the response.
 }
 
+// LimitVersion identifies the limits in force at a home. It is zero as long as there
+// have been none.
+type LimitVersion int64
+
+// LimitList holds all limits in force at a home.
+type LimitList struct {
+	Version LimitVersion
+	Limits  []NamedLimit
+}
+
 // LimitChange is a change of the limit to which a server is held.
 type LimitChange struct {
 	Server  site.ServerName
@@ -112,12 +123,21 @@
 }
 
 func (p *Pool) changeLimit(now time.Time, v *server, n NamedLimit) LimitChange {
+	p.limitVersion = max(p.limitVersion+1, LimitVersion(now.UnixMicro()))
 	c := LimitChange{Server: v.cfg.Name, Before: v.limit, After: n.Limit, NamedTo: n.VM, Age: n.Age}
 	v.setLimit(now, n, v.lastGrant, p.limitShare)
 	v.namedAt = now.Add(-n.Age)
 	return c
 }
 
+// LimitVersion returns the version of the limits in force. Those of two homes differ.
+func (p *Pool) LimitVersion() LimitVersion { return p.limitVersion }
+
+// LimitList returns the limits in force.
+func (p *Pool) LimitList(now time.Time) LimitList {
+	return LimitList{Version: p.limitVersion, Limits: p.namedLimits(now)}
+}
+
 // namedLimits returns the limits in force.
 func (p *Pool) namedLimits(now time.Time) []NamedLimit {
 	var out []NamedLimit
@@ -147,3 +167,21 @@
 	}
 	return out
 }
+
+// HasLimits reports whether any server names a limit.
+func (p *Pool) HasLimits() bool {
+	return slices.ContainsFunc(p.order, func(v *server) bool { return v.limit.Named })
+}
+
+// SetLimitShare sets the part of the servers' limits that this home may use, between 0
+// and 1. Others may decide for the pool at the same time.
+func (p *Pool) SetLimitShare(now time.Time, share float64) {
+	if share == p.limitShare {
+		return
+	}
+	p.limitShare = share
+	for _, v := range p.order {
+		v.refill(now)
+		v.share = share
+	}
+}
--- a/pkg/pool/limit_test.go
+++ b/pkg/pool/limit_test.go
@@ -193,7 +193,7 @@
 func TestStandbyKnowsLimits(t *testing.T) {
 	home, next := aLimitedPool(t, site.LimitOf(1)), newPool(1, 3)
 	now := start.Add(time.Second)
-	next.MergeStandbyState(now, home.StandbyState(now, now))
+	next.MergeLimits(now, home.StandbyState(now, now).Limits)
 	assert.Equal(t, limitOf(next), site.LimitOf(1))
 	r := aRequest("a")
 	r.NoWait = true
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -130,8 +130,9 @@
 	// lastRepeatable is when the last repeatable request came.
 	lastRepeatable time.Time
 	lastSweep      time.Time // When the queue was last swept for requests that cannot be served in time.
-	limitShare     float64   // The part of the servers' limits that this home may use.
-	slowResponses  window    // All responses; the very slow ones are the marked ones.
+	limitVersion   LimitVersion
+	limitShare     float64 // The part of the servers' limits that this home may use.
+	slowResponses  window  // All responses; the very slow ones are the marked ones.
 }
 
 // outstanding is a grant that has not been released.
--- a/pkg/pool/standby.go
+++ b/pkg/pool/standby.go
@@ -16,10 +16,3 @@
 func (p *Pool) StandbyState(now, after time.Time) StandbyState {
 	return StandbyState{FailureStreaks: p.FailureStreaks(now, after), Limits: p.namedLimits(now)}
 }
-
-// MergeStandbyState applies what another home of the pool knows, and returns the limits
-// that change.
-func (p *Pool) MergeStandbyState(now time.Time, s StandbyState) []LimitChange {
-	p.MergeFailureStreaks(now, s.FailureStreaks)
-	return p.MergeLimits(now, s.Limits)
-}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -87,6 +87,7 @@
 	changedAt   time.Time // When the update last changed.
 	lastContact time.Time // When this VM last received a message from it.
 	sendsLeft   int       // How many more times the update is sent.
+	left        bool      // It announced its stop before it fell silent.
 }
 
 // Roster is one VM's list of the members and their states.
@@ -312,7 +313,7 @@
 		if u.Status == Dead {
 			return
 		}
-		m = &member{Update: u, changedAt: now, sendsLeft: r.sendCount()}
+		m = &member{Update: u, changedAt: now, sendsLeft: r.sendCount(), left: u.Status == Leaving}
 		r.members[u.Name] = m
 		r.insertAtRandom(u.Name)
 		r.updateSets(m)
@@ -324,6 +325,7 @@
 	if !newer && !stronger {
 		return
 	}
+	m.left = u.Status == Leaving || (m.left && u.Status == Dead)
 	m.Update, m.changedAt, m.sendsLeft = u, now, r.sendCount()
 	r.updateSets(m)
 	r.pushDue = true
@@ -433,6 +435,17 @@
 // View returns the members that are eligible for roles. The view is immutable.
 func (r *Roster) View() *View { return r.view }
 
+// countLost returns the number of dead members that had not announced a stop.
+func (r *Roster) countLost() int {
+	n := 0
+	for _, m := range r.notAlive {
+		if m.Status == Dead && !m.left {
+			n++
+		}
+	}
+	return n
+}
+
 // rebuildView replaces the view if the eligible members have changed.
 func (r *Roster) rebuildView() {
 	if !r.viewStale {
@@ -446,8 +459,10 @@
 		}
 	}
 	slices.SortFunc(vms, func(a, b VM) int { return cmp.Compare(a.Name, b.Name) })
-	if r.view != nil && slices.Equal(r.view.vms, vms) {
+	lost := r.countLost()
+	if r.view != nil && r.view.lost == lost && slices.Equal(r.view.vms, vms) {
 		return
 	}
 	r.view = NewView(vms)
+	r.view.lost = lost
 }
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -273,3 +273,27 @@
 		assert.Assert(t, homes[0].Cores == 0.8 && homes[1].Cores == 0.8 && homes[2].Cores == 0.16)
 	}
 }
+
+// TestLostVMsAreCounted guards against two parts of a parted fleet that each take
+// themselves for the whole, and against a planned stop that counts like a lost VM.
+func TestLostVMsAreCounted(t *testing.T) {
+	r := roster.New(start, testVM(0), rand.New(rand.NewPCG(1, 1)))
+	hear := func(i int, inc roster.Incarnation, s roster.Status) {
+		r.HandleHeartbeat(start, roster.Update{VM: testVM(i), Incarnation: inc, Status: s}, nil)
+	}
+	for i := range 3 {
+		hear(i+1, 1, roster.Alive)
+	}
+	hear(1, 2, roster.Leaving)
+	hear(1, 2, roster.Dead)
+	assert.Equal(t, r.View().Lost(), 0)
+	hear(2, 1, roster.Dead)
+	assert.Equal(t, r.View().Lost(), 1)
+	assert.Equal(t, len(r.View().VMs()), 2)
+	hear(2, 3, roster.Alive)
+	assert.Equal(t, r.View().Lost(), 0)
+	hear(3, 1, roster.Dead)
+	assert.Equal(t, r.View().Lost(), 1)
+	r.Tick(start.Add(2 * time.Minute))
+	assert.Equal(t, r.View().Lost(), 0, "forgotten after a minute")
+}
--- a/pkg/roster/view.go
+++ b/pkg/roster/view.go
@@ -13,6 +13,7 @@
 // the same view assign each role to the same VM.
 type View struct {
 	vms   []VM
+	lost  int
 	mu    sync.Mutex
 	cache map[role][]VM
 }
@@ -35,6 +36,10 @@
 // VMs returns all VMs of the view, sorted by name.
 func (v *View) VMs() []VM { return v.vms }
 
+// Lost returns the number of VMs that have fallen silent in the last minute without
+// announcing a stop. They may have died, or live on the other side of a cut.
+func (v *View) Lost() int { return v.lost }
+
 // Homes returns up to maxRanked candidates for a pool's home, the first choice
 // first. VMs with fewer cores than given come after all others.
 func (v *View) Homes(pool string, cores float64) []VM { return v.rank(role{"pool/" + pool, cores}) }
