pool, home: requests beyond the servers' limits are refused at once

Cause: the expected wait counted free slots. And a new request took a token that had just come in, before those that waited.

Now a limited server counts for as many slots as its limit keeps in use (rate x mean time in a slot), and where all usable servers are limited the wait is the time until their tokens allow one request more than are ahead. The home serves its queue before it decides on a new request.

Conclusion: callers hear at once, and when to come back.

--- a/pkg/home/grant.go
+++ b/pkg/home/grant.go
@@ -130,6 +130,9 @@
 			Kind: outcome.Quarantined, Detail: "the request is quarantined: several backend servers crashed while they ran it", RetryAfter: left,
 		}, nil
 	}
+	if p.Queued() > 0 {
+		h.dispatchQueue(now, p) // What has become free in the meantime goes to those that wait.
+	}
 	d := p.markInProgress(p.Admit(now, req.poolRequest(now, losses > 0)), req.Key)
 	h.reportDecision(now, p, req, d)
 	t, waits := d.(pool.Waiting)
--- a/pkg/pool/choose.go
+++ b/pkg/pool/choose.go
@@ -16,7 +16,7 @@
 		now: now, dataCentre: r.DataCentre, probesRecovery: p.canProbeRecovery(now, r),
 		testsIdle: !r.Suspect, overloaded: p.overloaded(now),
 		avoidsUnknownOutcome: r.Class == site.AtMostOnce && p.hasUsableServer(now, r), atMostOnce: r.Class == site.AtMostOnce,
-		waitsForRecovered: r.Class == site.AtMostOnce && p.queue.len() < p.recoveredSlots(now, r)/2,
+		waitsForRecovered: r.Class == site.AtMostOnce && p.queue.len() < int(p.recoveredSlots(now, r)/2),
 	}
 	for _, v := range p.order {
 		if !v.hasFreeSlot(k, lastResort) || slices.Contains(r.Exclude, v.cfg.Name) || (r.Suspect && v.runsSuspect) {
@@ -31,15 +31,16 @@
 
 // overloaded reports whether more requests are queued than the usable servers can
 // run at once.
-func (p *Pool) overloaded(now time.Time) bool { return p.queue.len() > p.usableSlots(now) }
+func (p *Pool) overloaded(now time.Time) bool { return float64(p.queue.len()) > p.usableSlots(now) }
 
 // recoveredSlots returns the number of slots of the servers that may take the
-// request and have no failure streak that still limits them.
-func (p *Pool) recoveredSlots(now time.Time, r Request) int {
-	n := 0
+// request and have no failure streak that still limits them, as far as the servers'
+// limits on requests let them be used.
+func (p *Pool) recoveredSlots(now time.Time, r Request) float64 {
+	n := 0.0
 	for _, v := range p.order {
 		if v.trusted() && !v.inBackOff(now) && !v.recovering(now) && !slices.Contains(r.Exclude, v.cfg.Name) {
-			n += v.openSlots
+			n += p.withinLimitOf(v, v.openSlots)
 		}
 	}
 	return n
--- a/pkg/pool/dispatch.go
+++ b/pkg/pool/dispatch.go
@@ -7,6 +7,9 @@
 // CancelWait removes a request from the queue.
 func (p *Pool) CancelWait(t Ticket) { p.queue.remove(t) }
 
+// Queued returns the number of queued requests.
+func (p *Pool) Queued() int { return p.queue.len() }
+
 // QueueDecision is the decision that ends the wait of a queued request.
 type QueueDecision struct {
 	Ticket   Ticket
@@ -52,7 +55,10 @@
 func (p *Pool) sweep(now time.Time, free int) []QueueDecision {
 	var out []QueueDecision
 	missesTarget := func(r Request) bool { return p.missesTarget(now, r) }
-	ahead, slots := 0, max(1, p.usableSlots(now))
+	ahead, slots := 0, p.usableSlots(now)
+	if slots == 0 {
+		slots = 1 // Servers in back-off will be usable again.
+	}
 	for _, w := range p.queue.inServiceOrder(missesTarget) {
 		if free > 0 {
 			if v := p.choose(now, w.request, !p.hasUsableServer(now, w.request)); v != nil {
@@ -62,14 +68,18 @@
 				continue
 			}
 		}
-		if now.Add(p.waitBehind(ahead, slots) - p.waitBehind(0, slots)).After(w.waitLimit) {
+		wait := p.waitBehind(ahead, slots) - p.waitBehind(0, slots)
+		if turn, limited := p.untilTurn(now, w.request, ahead); limited {
+			wait = turn
+		}
+		if now.Add(wait).After(w.waitLimit) {
 			if v := p.choose(now, w.request, true); v != nil {
 				p.queue.serve(w)
 				out = append(out, QueueDecision{w.ticket, p.grant(now, v, w.request, false)})
 				continue
 			}
 			p.queue.remove(w.ticket)
-			out = append(out, QueueDecision{w.ticket, p.refuse(p.waitBehind(ahead, slots))})
+			out = append(out, QueueDecision{w.ticket, p.refuse(max(wait, p.waitBehind(0, slots)))})
 			continue
 		}
 		ahead++
--- a/pkg/pool/limit.go
+++ b/pkg/pool/limit.go
@@ -1,7 +1,9 @@
 package pool
 
 import (
+	"math"
 	"slices"
+	"sort"
 	"time"
 
 	"laburnumpick.org/pkg/site"
@@ -185,3 +187,50 @@
 		v.share = share
 	}
 }
+
+// withinLimitOf returns how many of a server's slots are in use on average if it gets as
+// many requests as its limit allows, and no more than there are.
+func (p *Pool) withinLimitOf(v *server, slots int) float64 {
+	if !v.limit.Named {
+		return float64(slots)
+	}
+	return min(float64(slots), v.requestRate()*p.meanMs/float64(time.Second/time.Millisecond))
+}
+
+// untilTurn returns the time until the limits of the usable servers allow a request that
+// has others ahead of it. It reports false if a usable server has no limit, or none is
+// usable.
+func (p *Pool) untilTurn(now time.Time, r Request, ahead int) (time.Duration, bool) {
+	var usable []*server
+	for _, v := range p.order {
+		if !v.trusted() || v.inBackOff(now) || slices.Contains(r.Exclude, v.cfg.Name) {
+			continue
+		}
+		if !v.limit.Named {
+			return 0, false
+		}
+		usable = append(usable, v)
+	}
+	if len(usable) == 0 {
+		return 0, false
+	}
+	turns := func(d time.Duration) int { return turnsWithin(usable, now, d) }
+	if turns(maxRetryAfter) <= ahead {
+		return maxRetryAfter, true
+	}
+	steps := sort.Search(int(maxRetryAfter/turnStep), func(i int) bool { return turns(time.Duration(i)*turnStep) > ahead })
+	return time.Duration(steps) * turnStep, true
+}
+
+// turnStep is the resolution of the time until a request's turn.
+const turnStep = time.Millisecond
+
+// turnsWithin returns how many requests the limits of the servers allow in a time from
+// now on.
+func turnsWithin(servers []*server, now time.Time, d time.Duration) int {
+	n := 0.0
+	for _, v := range servers {
+		n += math.Floor(v.tokensAt(now) + v.requestRate()*d.Seconds() + tokenRounding)
+	}
+	return int(min(n, maxQueueLen+1))
+}
--- a/pkg/pool/limit_test.go
+++ b/pkg/pool/limit_test.go
@@ -201,3 +201,74 @@
 	assert.Assert(t, refused, "the server may have got a request from the former home just now")
 	admit(t, next, now.Add(time.Second), r)
 }
+
+// limitedLoad counts what becomes of a constant load on servers with limits.
+type limitedLoad struct {
+	granted, refusedAtOnce, refusedLater int
+	longestWait                          time.Duration // Of a request that is refused.
+	retryAfter                           []time.Duration
+}
+
+// runLimitedLoad sends a request each interval to a pool for a time.
+func runLimitedLoad(p *pool.Pool, from time.Time, length, interval, deadline time.Duration) limitedLoad {
+	var out limitedLoad
+	arrivedAt := map[pool.Ticket]time.Time{}
+	decide := func(now, arrived time.Time, d pool.Decision) {
+		switch d := d.(type) {
+		case pool.Granted:
+			out.granted++
+			p.Release(now, d, pool.Served{Rule: reads, Took: 50 * time.Millisecond})
+		case pool.Waiting:
+			arrivedAt[d.Ticket] = now
+		case pool.Refused:
+			out.retryAfter = append(out.retryAfter, d.RetryAfter)
+			out.longestWait = max(out.longestWait, now.Sub(arrived))
+			if now.Equal(arrived) {
+				out.refusedAtOnce++
+				return
+			}
+			out.refusedLater++
+		}
+	}
+	for now := from; now.Before(from.Add(length)); now = now.Add(interval) {
+		r := aRequest("a")
+		r.Deadline = now.Add(deadline)
+		for _, w := range p.DispatchQueue(now) { // As the home does before each request.
+			decide(now, arrivedAt[w.Ticket], w.Decision)
+		}
+		decide(now, now, p.Admit(now, r))
+	}
+	return out
+}
+
+// TestExcessOverTheLimitsIsRefusedAtOnce guards against requests that wait for slots
+// which the servers' limits will not let them use, and against callers that are told to
+// come back long before there is room.
+func TestExcessOverTheLimitsIsRefusedAtOnce(t *testing.T) {
+	const servers, rate = 4, 0.5
+	p := newPool(servers, 3)
+	for i := range servers {
+		p.MergeLimits(start, []pool.NamedLimit{{Server: site.ServerName(fmt.Sprintf("s-%d", i)), Limit: site.LimitOf(rate)}})
+	}
+	load := runLimitedLoad(p, start.Add(10*time.Second), 20*time.Second, 50*time.Millisecond, 4*time.Second)
+	t.Logf("%d granted, refused %d at once, %d later (after %v at most)", load.granted, load.refusedAtOnce, load.refusedLater, load.longestWait)
+	assert.Assert(t, load.granted >= 20*servers*rate, "%d granted", load.granted)
+	assert.Assert(t, load.refusedLater*20 <= load.refusedAtOnce, "%d refused after a wait, %d at once", load.refusedLater, load.refusedAtOnce)
+	for _, d := range load.retryAfter[len(load.retryAfter)/2:] {
+		assert.Assert(t, d >= time.Second, "told to come back after %v, behind a wait of two seconds", d)
+	}
+}
+
+// TestRetryAfterIsTheTimeToTheNextTurn guards against a caller that is told the average
+// time between two requests, when the only server takes the next one sooner or later.
+func TestRetryAfterIsTheTimeToTheNextTurn(t *testing.T) {
+	p := aLimitedPool(t, site.LimitOf(0.25))
+	r := aRequest("a")
+	r.NoWait = true
+	for _, after := range []time.Duration{0, time.Second, 3900 * time.Millisecond} {
+		refused, ok := p.Admit(start.Add(after), r).(pool.Refused)
+		assert.Assert(t, ok)
+		assert.Equal(t, refused.RetryAfter.Round(time.Millisecond), 4*time.Second-after)
+	}
+	admit(t, p, start.Add(4*time.Second), r)
+}
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -296,12 +296,12 @@
 }
 
 // usableSlots returns the number of slots of the servers that are trusted and not in
-// back-off.
-func (p *Pool) usableSlots(now time.Time) int {
-	n := 0
+// back-off, as far as the servers' limits on requests let them be used.
+func (p *Pool) usableSlots(now time.Time) float64 {
+	n := 0.0
 	for _, v := range p.order {
 		if v.trusted() && !v.inBackOff(now) {
-			n += v.capacity(now)
+			n += p.withinLimitOf(v, v.capacity(now))
 		}
 	}
 	return n
@@ -330,6 +330,9 @@
 		return time.Second // A guess of when a server in back-off is usable again.
 	}
 	wait := p.waitBehind(p.queue.ahead(r), slots)
+	if turn, limited := p.untilTurn(now, r, p.queue.ahead(r)); limited {
+		wait = max(wait-p.waitBehind(0, slots), turn)
+	}
 	for _, v := range p.order {
 		if v.trusted() && v.pausedUntil.After(now) {
 			wait += v.pausedUntil.Sub(now) / time.Duration(len(p.order))
@@ -339,8 +342,8 @@
 }
 
 // waitBehind estimates the wait for a slot behind n other requests.
-func (p *Pool) waitBehind(n, slots int) time.Duration {
-	return scale(p.meanMs, float64(n+1)/float64(slots))
+func (p *Pool) waitBehind(n int, slots float64) time.Duration {
+	return scale(p.meanMs, float64(n+1)/slots)
 }
 
 // grant gives the request a slot of the server.
--- a/pkg/trial/limits_of_servers_test.go
+++ b/pkg/trial/limits_of_servers_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"laburnumpick.org/pkg/outcome"
 	"laburnumpick.org/pkg/roster"
 	"laburnumpick.org/pkg/site"
 	"laburnumpick.org/pkg/standin"
@@ -229,3 +230,67 @@
 		s.SetFaults(faults)
 	}
 }
+
+// TestExcessOverTheLimitsIsRefusedAtOnceByTheFleet guards against callers that wait for
+// slots that the servers' limits do not let them use, only to be refused, and against an
+// account that takes the turns of the others.
+func TestExcessOverTheLimitsIsRefusedAtOnceByTheFleet(t *testing.T) {
+	withFleet(t, "tt-north", trial.Options{VMs: 8, Seed: 1}, func(t *testing.T, f *trial.Fleet) {
+		for _, n := range f.Plan.Service("packshelf").ServerNames() {
+			f.Servers[n].SetFaults(standin.Faults{Limit: "1"})
+		}
+		sendAccounts(f, 40, 5*time.Second) // Lets the servers name their limits.
+		replies := sendAccounts(f, 40, 20*time.Second)
+		refused, late := 0, map[site.AccountName]int{}
+		served := map[site.AccountName]int{}
+		for _, r := range replies {
+			switch {
+			case r.reply.Status == 200:
+				served[r.account]++
+			case r.reply.Outcome == outcome.NotRun:
+				refused++
+				if r.reply.Duration > refusedAtOnce {
+					late[r.account]++
+				}
+				assert.Check(t, r.reply.RetryAfterMs != "", "%s: %s", r.reply.Kind, r.reply.Body)
+			default:
+				t.Errorf("%s %s: %s", r.reply.Outcome, r.reply.Kind, r.reply.Body)
+			}
+		}
+		t.Logf("served %v, %d refused, late %v", served, refused, late)
+		assert.Check(t, served["few"]+served["many"] >= 8*20*9/10, "served %v, the limits allow 160", served)
+		assert.Check(t, late["few"] == 0, "%d refusals of account few came late", late["few"])
+		assert.Check(t, late["many"] <= served["few"], "%d refusals of account many came late, more than made room for the other account", late["many"])
+		assert.Check(t, served["few"]*10 >= served["many"]*8, "served %v, though both accounts ask for more", served)
+	})
+}
+
+// refusedAtOnce is the longest time after which a refusal counts as given at once. It
+// covers the ways between caller, VM and home.
+const refusedAtOnce = 100 * time.Millisecond
+
+// accountReply is the reply to a request of an account.
+type accountReply struct {
+	account site.AccountName
+	reply   trial.Reply
+}
+
+// sendAccounts sends reads of packshelf at a rate for a time, three in four of account many
+// and the others of account few.
+func sendAccounts(f *trial.Fleet, perSecond int, length time.Duration) []accountReply {
+	n := perSecond * int(length/time.Second)
+	replies := make([]accountReply, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		time.Sleep(time.Second / time.Duration(perSecond))
+		account := site.AccountName("many")
+		if i%4 == 0 {
+			account = "few"
+		}
+		vms := f.Serving()
+		c := trial.Call{Service: "packshelf", Method: "GET", Path: "/packs/1", Account: account, Mark: fmt.Sprintf("%p-%d", replies, i), Deadline: 2 * time.Second}
+		wg.Go(func() { replies[i] = accountReply{account, f.Call(bg, vms[i%len(vms)], c)} })
+	}
+	wg.Wait()
+	return replies
+}
