pool, dispatch: a refusal because of the limit is no failure of the server

Cause: a server that answered 503 because it was over its limit was declined as shedding, which counts as a failure: it lost its claim to a request after 1.2 s for 2.4 s more, though it was known to be sound.

A refusal whose response names a limit is now Declined{Limited}: no failure, and the server's tokens are dropped, since it has told that it is over its limit; the next request comes a whole interval later. Refusals still spend the retry budget as the users count them.

Measured: TestRefusalForTheLimitIsNoFailure; with the reason as before it reports a failure 2 s ago instead of none. Ruled out for now: status 500 of a limited server as no failure (it says that the request ran and failed).

--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -272,6 +272,9 @@
 	resp := t.response
 	if reason, refused := d.cfg.Contract.Refusal(resp); refused {
 		t.refusal = pool.DeclineReason(reason)
+		if l, _ := d.cfg.Contract.Limit(resp.Header); l.Named && t.refusal == pool.Shed {
+			t.refusal = pool.Limited // An invalid limit has been logged when the head came.
+		}
 		t.report = pool.Declined{Reason: t.refusal}
 		t.response = nil
 		if resp.BodyRemainder != nil {
--- a/pkg/pool/limit.go
+++ b/pkg/pool/limit.go
@@ -107,6 +107,12 @@
 	c.limitedGrants++
 }
 
+// dropTokens makes the next request wait for a whole interval.
+func (c *pace) dropTokens(now time.Time) {
+	c.refill(now)
+	c.tokens = min(c.tokens, 0)
+}
+
 // RecordLimit applies what the response to a grant of this home says about the server's
 // limit. It reports false if nothing changes.
 func (p *Pool) RecordLimit(now time.Time, g GrantID, n NamedLimit) (LimitChange, bool) {
--- a/pkg/pool/limit_test.go
+++ b/pkg/pool/limit_test.go
@@ -272,3 +272,24 @@
 	}
 	admit(t, p, start.Add(4*time.Second), r)
 }
+
+// TestRefusalForTheLimitIsNoFailure guards against a server that refuses a request because
+// of its limit and is then left out like one that fails.
+func TestRefusalForTheLimitIsNoFailure(t *testing.T) {
+	p := newPool(1, 3)
+	g := admit(t, p, start, aRequest("a"))
+	nameLimit(t, p, start, g, site.LimitOf(0.5))
+	p.Release(start, g, pool.Served{Rule: reads, Took: time.Millisecond})
+	now := start.Add(2 * time.Second)
+	p.Release(now, admit(t, p, now, aRequest("a")), pool.Declined{Reason: pool.Limited})
+	idle := p.IdleServers(now.Add(2*time.Second + time.Millisecond))
+	assert.Equal(t, len(idle), 1)
+	assert.Equal(t, idle[0].FailedAgo, time.Duration(0))
+	assert.Equal(t, idle[0].State, pool.Healthy)
+	r := aRequest("a")
+	r.NoWait = true
+	_, refused := p.Admit(now.Add(1900*time.Millisecond), r).(pool.Refused)
+	assert.Assert(t, refused, "the server has just been over its limit")
+	r.Class = site.AtMostOnce
+	admit(t, p, now.Add(2*time.Second), r)
+}
--- a/pkg/pool/report.go
+++ b/pkg/pool/report.go
@@ -57,6 +57,8 @@
 	Shed  DeclineReason = "shed"
 	Drain DeclineReason = "drain"
 	Cold  DeclineReason = "cold"
+	// Limited means that the server has got more requests than the limit that it names.
+	Limited DeclineReason = "limited"
 	// Moved means that another server answered at the address.
 	Moved DeclineReason = "moved"
 	// Unlisted means that the VM's list of registered servers shows that the server has
@@ -114,7 +116,7 @@
 	case Failed, Unreached:
 		return true
 	case Declined:
-		return r.Reason != Unlisted
+		return r.Reason != Unlisted && r.Reason != Limited
 	case Served, Dropped:
 	}
 	return false
@@ -272,6 +274,9 @@
 			v.setState(now, Leaving, "it is draining")
 			v.nextProbe = now.Add(leavingRecheck)
 		}
+	case Limited:
+		v.pausedUntil = now.Add(shedPause)
+		v.dropTokens(now)
 	case Unlisted:
 		v.pausedUntil = now.Add(unlistedPause)
 	case Moved:
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -52,7 +52,7 @@
 	grantedAt   time.Time
 	failedAt    time.Time // When a request last failed on it, or it declined one or was not reached.
 	servedAt    time.Time // When it last gave a good response.
-	pausedUntil time.Time // Until when it gets no requests, after one was declined as Shed, Cold or Unlisted.
+	pausedUntil time.Time // Until when it gets no requests, after one was declined as Shed, Cold, Limited or Unlisted.
 	coldUntil   time.Time // Until when it is slow after its start.
 	departing   bool      // It registered as leaving, or another server has its address.
 	moved       bool      // Another server has its address.
