home, record, operator: limits of servers as a reason of their own

Cause: a refusal because of the servers' limits looked like one for want of slots, and nothing showed who had named which limit.

A failure kind serverLimits (503, not run) for callers, logs and metrics; gauges of limited servers and of what this home may send to them; the limit, who heard it, since when and the requests granted against it in show servers and in the pool's view; explain names limits as the cause.

An older VM does not know the new kind and reports such a refusal as unknown while the fleet is upgraded, which is true but says less.

--- a/cmd/laburnumpick/command/command.go
+++ b/cmd/laburnumpick/command/command.go
@@ -175,15 +175,24 @@
 func formatTime(ms int64) string { return time.UnixMilli(ms).UTC().Format("15:04:05.000") }
 
 func printServers(w *tabwriter.Writer, view *fleetapi.BelieveAnswer) {
-	printRow(w, "POOL", "SERVER", "STATE", "SINCE", "IN USE", "SLOTS", "SCORE", "REASON")
+	printRow(w, "POOL", "SERVER", "STATE", "SINCE", "IN USE", "SLOTS", "SCORE", "LIMIT", "REASON")
 	for _, p := range view.GetPools() {
 		for _, s := range p.GetServers() {
 			printRow(w, p.GetService(), s.GetName(), s.GetState(), formatTime(s.GetSinceUnixMs()),
-				s.GetInUse(), s.GetSlots(), fmt.Sprintf("%.1f", s.GetScore()), s.GetReason())
+				s.GetInUse(), s.GetSlots(), fmt.Sprintf("%.1f", s.GetScore()), formatLimit(s), s.GetReason())
 		}
 	}
 }
 
+// formatLimit returns the limit on requests that a server names, to which VM, since
+// when, and how many requests were granted against it.
+func formatLimit(s *fleetapi.ServerView) string {
+	if s.GetLimit() == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%g/s to %s at %s, %d granted", s.GetLimit().GetPerSecond(), s.GetLimitVm(), formatTime(s.GetLimitUnixMs()), s.GetLimitGrants())
+}
+
 func printVMs(w *tabwriter.Writer, view *fleetapi.BelieveAnswer) {
 	printRow(w, "VM", "ADDRESS", "DATA CENTRE", "STATUS")
 	for _, m := range view.GetMembers() {
--- a/pkg/fleetapi/conversions.go
+++ b/pkg/fleetapi/conversions.go
@@ -138,11 +138,16 @@
 func FromView(v pool.View) *PoolView {
 	out := &PoolView{Service: string(v.ID), Queued: int32(v.Queued)}
 	for _, s := range v.Servers {
-		out.Servers = append(out.Servers, &ServerView{
+		limit := fromRequestLimit(s.Limit)
+		view := &ServerView{
 			Name: string(s.Server.Name), Address: s.Server.Address, State: string(s.State), Reason: s.Reason,
 			SinceUnixMs: s.Since.UnixMilli(), Slots: int32(s.Server.Slots), Open: int32(s.OpenSlots),
-			InUse: int32(s.InUse), Score: s.Score, FailRate: s.FailRate, Strikes: int32(s.Strikes),
-		})
+			InUse: int32(s.InUse), Score: s.Score, FailRate: s.FailRate, Strikes: int32(s.Strikes), Limit: limit,
+		}
+		if limit != nil {
+			view.LimitVm, view.LimitUnixMs, view.LimitGrants = s.LimitNamedTo, s.LimitNamedAt.UnixMilli(), int32(s.LimitedGrants)
+		}
+		out.Servers = append(out.Servers, view)
 	}
 	return out
 }
--- a/pkg/home/grant.go
+++ b/pkg/home/grant.go
@@ -166,6 +166,7 @@
 	record.Log("home: refused", "id", id, "pool", p.ID(), "kind", r.Kind, "detail", r.Detail,
 		"retryAfter", r.RetryAfter.Round(time.Millisecond), "left", left.Round(time.Millisecond),
 		"queued", s.Queued, "inUse", s.InUse, "slots", s.Slots, "servers", s.Servers, "usable", s.Usable, "retries", s.Retries, "budget", s.RetryBudget,
+		"limited", s.Limited, "limitedRate", fmt.Sprintf("%.2f", s.LimitedRate),
 		"config", p.version, "registry", h.cfg.Registry.State().Revision)
 }
 
--- a/pkg/home/home.go
+++ b/pkg/home/home.go
@@ -139,6 +139,8 @@
 		scope.Gauge("usableServers").Update(float64(s.Usable))
 		scope.Gauge("retries").Update(float64(s.Retries))
 		scope.Gauge("retryBudget").Update(float64(s.RetryBudget))
+		scope.Gauge("limitedServers").Update(float64(s.Limited))
+		scope.Gauge("limitedRate").Update(s.LimitedRate)
 		updateIdleGauges(scope, p.IdleServers(now))
 	}
 }
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -41,6 +41,7 @@
 	KeyReused             Kind = "keyReused"       // The key belongs to a different request.
 	AccountLimit          Kind = "accountLimit"    // The client account exceeds its limits.
 	Overload              Kind = "overload"        // A limit of the VM, the pool or the server was reached.
+	ServerLimits          Kind = "serverLimits"    // The limits that the backend servers name allow no request in time.
 	NoServer              Kind = "noServer"        // No backend server could be used or reached.
 	StoreUnavailable      Kind = "storeAway"       // The key could not be claimed or looked up in the store.
 	EarlierAttemptUnknown Kind = "earlierUnsure"   // This attempt was not sent; an earlier one with its key may have run.
@@ -78,6 +79,7 @@
 	KeyReused:             {NotRun, http.StatusUnprocessableEntity, 0, "use a new key for a different request"},
 	AccountLimit:          {NotRun, http.StatusTooManyRequests, time.Second, "slow down"},
 	Overload:              {NotRun, http.StatusServiceUnavailable, time.Second, "try again later"},
+	ServerLimits:          {NotRun, http.StatusServiceUnavailable, time.Second, "try again later"},
 	NoServer:              {NotRun, http.StatusServiceUnavailable, 2 * time.Second, "try again later"},
 	StoreUnavailable:      {NotRun, http.StatusServiceUnavailable, 5 * time.Second, "try again with the same key"},
 	EarlierAttemptUnknown: {Unknown, http.StatusServiceUnavailable, 5 * time.Second, "this attempt was not sent; try again with the same key to learn of earlier ones"},
--- a/pkg/pool/dispatch.go
+++ b/pkg/pool/dispatch.go
@@ -21,7 +21,7 @@
 func (p *Pool) DispatchQueue(now time.Time) []QueueDecision {
 	var out []QueueDecision
 	for _, t := range p.queue.takeEvicted() {
-		out = append(out, QueueDecision{t, p.refuse(p.expectedWait(now, Request{}))})
+		out = append(out, QueueDecision{t, p.refuse(now, Request{}, p.expectedWait(now, Request{}))})
 	}
 	if p.queue.len() == 0 {
 		return out
@@ -79,7 +79,7 @@
 				continue
 			}
 			p.queue.remove(w.ticket)
-			out = append(out, QueueDecision{w.ticket, p.refuse(max(wait, p.waitBehind(0, slots)))})
+			out = append(out, QueueDecision{w.ticket, p.refuse(now, w.request, max(wait, p.waitBehind(0, slots)))})
 			continue
 		}
 		ahead++
--- a/pkg/pool/intent.go
+++ b/pkg/pool/intent.go
@@ -217,6 +217,10 @@
 	Usable      int // Trusted servers without a failure streak.
 	Retries     int // Retries in the budget's window.
 	RetryBudget int // Retries that the budget allows in its window.
+	// Limited is the number of servers that name a limit on requests, LimitedRate the
+	// requests per second that this home may send to them together.
+	Limited     int
+	LimitedRate float64
 }
 
 // Stats returns the pool's figures.
@@ -231,6 +235,10 @@
 		if v.trusted() && v.streak == 0 {
 			s.Usable++
 		}
+		if v.limit.Named {
+			s.Limited++
+			s.LimitedRate += v.requestRate()
+		}
 	}
 	return s
 }
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -225,7 +225,7 @@
 	}
 	wait := p.expectedWait(now, r)
 	if r.NoWait {
-		return p.refuse(wait)
+		return p.refuse(now, r, wait)
 	}
 	if !p.hasUsableServer(now, r) || now.Add(wait).After(p.waitLimit(now, r)) {
 		if v := p.choose(now, r, true); v != nil {
@@ -270,10 +270,10 @@
 	}
 	waitLimit := p.waitLimit(now, r)
 	if now.Add(wait).After(waitLimit) && !p.queue.evictFor(r) {
-		return p.refuse(wait)
+		return p.refuse(now, r, wait)
 	}
 	if p.queue.len() >= maxQueueLen {
-		return p.refuse(wait)
+		return p.refuse(now, r, wait)
 	}
 	return Waiting{p.queue.push(r, waitLimit)}
 }
@@ -288,11 +288,14 @@
 	return share
 }
 
-// refuse refuses a request because no slot becomes free in time. wait is the
-// expected wait for a slot.
-func (p *Pool) refuse(wait time.Duration) Refused {
-	retryAfter := min(max(wait, minRetryAfter), maxRetryAfter)
-	return Refused{Kind: outcome.Overload, Detail: "no slot of a server is free in time", RetryAfter: retryAfter}
+// refuse refuses a request because no slot becomes free in time, or the servers' limits
+// allow none. wait is the expected wait for a slot.
+func (p *Pool) refuse(now time.Time, r Request, wait time.Duration) Refused {
+	out := Refused{Kind: outcome.Overload, Detail: "no slot of a server is free in time", RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}
+	if turn, limited := p.untilTurn(now, r, 0); limited && turn > 0 {
+		out.Kind, out.Detail = outcome.ServerLimits, "the limits that the servers name allow no request in time"
+	}
+	return out
 }
 
 // usableSlots returns the number of slots of the servers that are trusted and not in
--- a/pkg/record/read.go
+++ b/pkg/record/read.go
@@ -108,7 +108,7 @@
 	if len(requestLines) == 0 {
 		e.Lines = filter(lines, func(l Line) bool { return l.Get("server") == subject && l.Get("id") == "" })
 		if n := len(e.Lines); n > 0 {
-			e.Cause = e.Lines[n-1].Message + ": " + cmp.Or(e.Lines[n-1].Get("reason"), e.Lines[n-1].Get("news"))
+			e.Cause = e.Lines[n-1].Message + ": " + cmp.Or(e.Lines[n-1].Get("reason"), e.Lines[n-1].Get("news"), e.Lines[n-1].Get("limit"))
 		}
 		return e
 	}
@@ -152,6 +152,10 @@
 	}
 	attempt, refusal := lastWithPrefix(requestLines, "dispatch: try failed"), lastWithPrefix(requestLines, "home: refused")
 	switch {
+	case entryLine.Get("outcome") == "notRun" && refusal.Get("kind") == "serverLimits":
+		return fmt.Sprintf("not run: home of pool %s: %s, with %s of %s servers limited to %s requests a second together and %s waiting",
+			refusal.Get("pool"), refusal.Get("detail"), refusal.Get("limited"), refusal.Get("servers"), refusal.Get("limitedRate"),
+			refusal.Get("queued"))
 	case entryLine.Get("outcome") == "notRun" && refusal.Message != "":
 		return fmt.Sprintf("not run: home of pool %s: %s, with %s of %s slots in use, %s waiting and %s of %s servers usable",
 			refusal.Get("pool"), refusal.Get("detail"), refusal.Get("inUse"), refusal.Get("slots"), refusal.Get("queued"),
--- a/pkg/record/read_test.go
+++ b/pkg/record/read_test.go
@@ -43,3 +43,19 @@
 		}
 	})
 }
+
+// TestExplainNamesTheServersLimits guards against a refusal because of the servers' limits
+// that looks like one for want of slots.
+func TestExplainNamesTheServersLimits(t *testing.T) {
+	f, err := os.Open("testdata/limits.log")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, f.Close()) }()
+	lines, err := record.Read(f)
+	assert.NilError(t, err)
+	var b strings.Builder
+	for _, subject := range []string{"5ae94531", "sealbook-3"} {
+		_, err := record.Explain(lines, subject).WriteTo(&b)
+		assert.NilError(t, err)
+	}
+	golden.Assert(t, b.String(), "limits.golden")
+}
--- a/pkg/trial/limits_of_servers_test.go
+++ b/pkg/trial/limits_of_servers_test.go
@@ -252,6 +252,7 @@
 				if r.reply.Duration > refusedAtOnce {
 					late[r.account]++
 				}
+				assert.Check(t, r.reply.Kind == outcome.ServerLimits || r.reply.Kind == outcome.Overload, "%s", r.reply.Kind)
 				assert.Check(t, r.reply.RetryAfterMs != "", "%s: %s", r.reply.Kind, r.reply.Body)
 			default:
 				t.Errorf("%s %s: %s", r.reply.Outcome, r.reply.Kind, r.reply.Body)
