soak, standin: servers of the soak name limits, counted at the servers

Counted at the servers over all VMs, killed and paused ones included, if the run checks timing. The record of arrivals and named limits is one type (standin.LimitLog) for both kinds of stand-in servers.

--- a/cmd/laburnumbench/soak/soak.go
+++ b/cmd/laburnumbench/soak/soak.go
@@ -57,6 +57,7 @@
 	serverLinks    []*link // Links to the servers, at the same indexes.
 	servers        []*standin.Server
 	replacing      [2 * serversPerService]atomic.Bool // By index: whether an event is replacing the server.
+	limited        []*standin.Server                  // All servers that have named a limit.
 	version        int                                // Of the configuration.
 	serversStarted int                                // Counts the servers started so far, to name the next one.
 	errs           []error
@@ -86,6 +87,9 @@
 	time.Sleep(recoveryTime)
 	all := c.stopAndWait()
 	broken := checkPromises(all, s.log.Runs(), recoveryStart, cfg.CheckTiming)
+	if cfg.CheckTiming {
+		broken = append(broken, checkLimits(s.limited)...)
+	}
 	statuses := make(map[int]int)
 	for _, t := range all {
 		statuses[t.status]++
@@ -201,6 +205,8 @@
 	start := time.Now()
 	done := make(chan error)
 	events := Schedule(s.cfg.Seed, s.cfg.Length)
+	limits := s.nameLimits(start)
+	defer limits.Wait()
 	for _, e := range events {
 		time.Sleep(time.Until(start.Add(e.At)))
 		_, _ = fmt.Fprintln(s.cfg.Out, e) // Run reports an error of Out when it writes the summary.
--- a/pkg/standin/limits.go
+++ b/pkg/standin/limits.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"sync"
 	"time"
 
 	"laburnumpick.org/pkg/site"
@@ -28,6 +29,52 @@
 	Limit site.RequestLimit
 }
 
+// LimitLog records the requests that arrive at a server and the limits that its
+// responses name. It is safe for concurrent use.
+type LimitLog struct {
+	mu       sync.Mutex
+	arrivals []time.Time
+	named    []NamedLimit
+}
+
+// Arrive records that a request has arrived, whatever becomes of it.
+func (l *LimitLog) Arrive(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrivals = append(l.arrivals, now)
+}
+
+// ArrivedSince returns the number of requests that arrived after a time.
+func (l *LimitLog) ArrivedSince(t time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for i := len(l.arrivals) - 1; i >= 0 && l.arrivals[i].After(t); i-- {
+		n++
+	}
+	return n
+}
+
+// Name records what a response says.
+func (l *LimitLog) Name(now time.Time, limit site.RequestLimit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var last site.RequestLimit
+	if n := len(l.named); n > 0 {
+		last = l.named[n-1].Limit
+	}
+	if limit != last {
+		l.named = append(l.named, NamedLimit{now, limit})
+	}
+}
+
+// WorstWindow returns the window that exceeds the server's limit the most.
+func (l *LimitLog) WorstWindow() LimitViolation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return WorstLimitWindow(l.arrivals, l.named)
+}
+
 // LimitViolation is a window in which a server got more requests than its limit allows.
 type LimitViolation struct {
 	From     time.Time
--- a/pkg/standin/server.go
+++ b/pkg/standin/server.go
@@ -16,7 +16,6 @@
 
 	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/control"
-	"laburnumpick.org/pkg/site"
 )
 
 // Faults configures the faults that a backend server injects. Shares lie between
@@ -73,7 +72,8 @@
 // Server is a backend server that injects faults and records the requests that it
 // runs.
 type Server struct {
-	cfg ServerConfig
+	cfg    ServerConfig
+	limits LimitLog
 
 	mu           sync.Mutex
 	rng          *rand.Rand
@@ -81,8 +81,6 @@
 	inFlight     int
 	runs         []Run
 	shedCount    int
-	arrivals     []time.Time   // Of all requests, also of those that were refused.
-	named        []NamedLimit  // The limits that responses have named, and their ends.
 	refusalTimes []time.Time   // When requests arrived while the server was draining.
 	lastDeadline time.Duration // Time left according to the last request's header.
 	http         *http.Server
@@ -134,39 +132,21 @@
 	return slices.Clone(s.runs)
 }
 
-// Arrivals returns when requests arrived, including those that were refused.
-func (s *Server) Arrivals() []time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Clone(s.arrivals)
-}
-
-// NamedLimits returns the limits that the server's responses have named, each with the
-// time of the first response.
-func (s *Server) NamedLimits() []NamedLimit {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Clone(s.named)
-}
+// Limits returns the record of the requests that arrived, and of the limits that the
+// server's responses have named.
+func (s *Server) Limits() *LimitLog { return &s.limits }
 
 // nameLimit writes the server's limit to the head of a response.
 func (s *Server) nameLimit(h http.Header) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	text := s.faults.Limit
+	s.mu.Unlock()
 	if text != "" {
 		h.Set(backend.HeaderRequestLimit, text)
 	}
 	l, err := backend.Contract{}.Limit(h)
-	if err != nil {
-		return // Nothing can be concluded from an invalid limit.
-	}
-	var last site.RequestLimit
-	if n := len(s.named); n > 0 {
-		last = s.named[n-1].Limit
-	}
-	if l != last {
-		s.named = append(s.named, NamedLimit{time.Now(), l})
+	if err == nil { // Nothing can be concluded from an invalid limit.
+		s.limits.Name(time.Now(), l)
 	}
 }
 
@@ -174,14 +154,7 @@
 // server's limit allows.
 func (s *Server) isOverLimit(now time.Time) bool {
 	rate, err := strconv.ParseFloat(s.faults.Limit, 64)
-	if err != nil {
-		return false
-	}
-	n := 0
-	for i := len(s.arrivals) - 1; i >= 0 && now.Sub(s.arrivals[i]) < time.Second; i-- {
-		n++
-	}
-	return float64(n) > max(1, rate)
+	return err == nil && float64(s.limits.ArrivedSince(now.Add(-time.Second))) > max(1, rate)
 }
 
 // ShedCount returns the number of requests refused because all slots were in use.
@@ -264,7 +237,7 @@
 		s.lastDeadline = time.Duration(ms) * time.Millisecond
 	}
 	now := time.Now()
-	s.arrivals = append(s.arrivals, now)
+	s.limits.Arrive(now)
 	p := responsePlan{faults: s.faults}
 	switch {
 	case s.faults.RefuseOverLimit && s.isOverLimit(now):
--- a/pkg/trial/limits_of_servers_test.go
+++ b/pkg/trial/limits_of_servers_test.go
@@ -199,8 +199,7 @@
 	wg.Wait()
 	for _, l := range limitedLoads {
 		for _, n := range f.Plan.Service(l.service).ServerNames() {
-			s := f.Servers[n]
-			w := standin.WorstLimitWindow(s.Arrivals(), s.NamedLimits())
+			w := f.Servers[n].Limits().WorstWindow()
 			assert.Check(t, !w.Violated, "%s got %d requests in the %v from %v, allowed %.1f at a limit of %v",
 				n, w.Got, standin.LimitWindow, w.From.Sub(begin), w.Allowed, w.AtMost)
 		}
