--- a/pkg/pool/limit_test.go
+++ b/pkg/pool/limit_test.go
@@ -293,3 +293,37 @@
 	r.Class = site.AtMostOnce
 	admit(t, p, now.Add(2*time.Second), r)
 }
+
+// TestProbesKeepTheLimit guards against a suspected server that is probed more often than
+// the limit that it has named allows.
+func TestProbesKeepTheLimit(t *testing.T) {
+	p := newPoolWithFloor(2, 3, func(int) int { return 0 })
+	now := start
+	for p.State("s-0") != pool.Suspected {
+		now = now.Add(time.Second)
+		assert.Assert(t, now.Before(start.Add(time.Hour)), "the server is never suspected")
+		r := aRequest("a")
+		r.Exclude = []site.ServerName{"s-1"}
+		if g, ok := p.Admit(now, r).(pool.Granted); ok {
+			p.Release(now, g, pool.Failed{Rule: reads, Detail: "reset"})
+		}
+	}
+	p.MergeLimits(now, []pool.NamedLimit{{Server: "s-0", Limit: site.LimitOf(1)}})
+	var probes []time.Time
+	for p.State("s-0") == pool.Suspected {
+		now = now.Add(50 * time.Millisecond)
+		assert.Assert(t, now.Before(start.Add(time.Hour)), "the server never passes its probes")
+		g, ok := p.Admit(now, aRequest("a")).(pool.Granted)
+		if !ok {
+			continue
+		}
+		if g.Probe {
+			probes = append(probes, now)
+		}
+		p.Release(now, g, pool.Served{Rule: reads, Took: 20 * time.Millisecond})
+	}
+	const shortest = 750 * time.Millisecond // An interval at the limit, less the burst.
+	for i := range probes[1:] {
+		assert.Assert(t, probes[i+1].Sub(probes[i]) >= shortest, "probes at %v", probes)
+	}
+}
