fleet: a restarted home makes no VM forget the limits that it knows

Cause, found by reading: the version of a home's limits was a number that a home which had restarted began anew, so its reply without limits looked like the end of all of them, and each VM dropped what it knew unless it had told the home within the last 250 ms.

The version now says when the home created its pool.

--- a/_scripts/prove.sh
+++ b/_scripts/prove.sh
@@ -90,4 +90,5 @@
 mutant "an unreadable limit lifts the limit" fleet/limits.go 's/if !o\.Limit\.Named \{/if false {/' fleet 'TestInvalidLimit'
 mutant "requests wait for slots beyond the limits" pool/pool.go 's/limited := p\.untilTurn\(now, r, p\.queue\.ahead\(r\)\); limited/limited := p.untilTurn(now, r, 0); limited \&\& false/; s/p\.withinLimitOf\(v, v\.capacity\(now\)\)/float64(v.capacity(now))/' pool 'TestExcessOverTheLimits'
 mutant "a refusal for the limit counted as a failure" pool/report.go 's/ && r\.Reason != Limited//' pool 'TestRefusalForTheLimit'
+mutant "a restarted home lifts limits" fleet/limits.go 's/sameHome := reply\.Version\.Since == s\.version\.Since/sameHome := true/' fleet 'TestRestartedHome'
 exit $bad
--- a/pkg/fleet/limits.go
+++ b/pkg/fleet/limits.go
@@ -48,15 +48,9 @@
 	return othersLimitShare / all
 }
 
-// Times of the limits that a VM knows.
-const (
-	// limitMemory is how long a limit is remembered after a response or a home has
-	// confirmed it.
-	limitMemory = 30 * time.Second
-	// limitsInterval is the time after which a home is told limits again that it has been
-	// told before, in case it has restarted.
-	limitsInterval = 250 * time.Millisecond
-)
+// limitMemory is how long a limit is remembered after a response or a home has confirmed
+// it.
+const limitMemory = 30 * time.Second
 
 // knownLimit is the limit of a server as this VM knows it.
 type knownLimit struct {
@@ -72,8 +66,7 @@
 	confirmedAt time.Time // When the home last replied.
 	home        roster.VMName
 	version     pool.LimitVersion // Of the limits that this home sent last.
-	toldAt      time.Time         // When this home was last told the limits below.
-	told        []pool.NamedLimit
+	told        []pool.NamedLimit // That this home has been told last.
 }
 
 // knownLimits holds the limits that servers have named to this VM or, as their homes
@@ -152,17 +145,17 @@
 }
 
 // forRequest returns a request to a VM as the home of a service's pool, with the limits
-// that this VM knows and the home has not been told lately.
+// that this VM knows, unless the home has been told them before.
 func (k *knownLimits) forRequest(now time.Time, vm roster.VMName, req *home.SlotRequest) *home.SlotRequest {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.service(req.Service)
 	if s.home != vm {
-		s.home, s.version, s.told, s.toldAt = vm, 0, nil, time.Time{}
+		s.home, s.version, s.told = vm, pool.LimitVersion{}, nil
 	}
 	out := *req
 	out.LimitVersion, out.Limits = s.version, s.current(now)
-	if now.Sub(s.toldAt) < limitsInterval && slices.EqualFunc(s.told, out.Limits, haveSameLimit) {
+	if slices.EqualFunc(s.told, out.Limits, haveSameLimit) {
 		out.Limits = nil
 	}
 	return &out
@@ -172,9 +165,9 @@
 	return a.Server == b.Server && a.StartedMs == b.StartedMs && a.Limit == b.Limit
 }
 
-// handleReply records that a home has got a request that was sent at a time, and applies
-// the limits of its reply. Those that the home does not hold have ended, unless this VM
-// has heard of them since.
+// handleReply applies the reply of a home to a request that was sent at a time. Limits
+// that the home does not hold have ended, unless it has not been told them or this VM has
+// heard of them since.
 func (k *knownLimits) handleReply(now, sentAt time.Time, vm roster.VMName, req *home.SlotRequest, reply pool.LimitList) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -183,21 +176,38 @@
 		return // Another home has been asked in the meantime.
 	}
 	s.confirmedAt = now
-	if req.Limits != nil {
-		s.told, s.toldAt = req.Limits, sentAt
-	}
-	if reply.Version == req.LimitVersion {
+	sameHome := reply.Version.Since == s.version.Since
+	switch {
+	case req.Limits != nil:
+		s.told = req.Limits
+	case !sameHome:
+		s.told = nil // The home has restarted.
+	}
+	if reply.Version == req.LimitVersion || (sameHome && reply.Version.Changes < s.version.Changes) {
 		return
 	}
 	s.version = reply.Version
+	if sameHome || req.Limits != nil {
+		s.forgetBefore(sentAt)
+	}
+	s.merge(now, reply.Limits)
+}
+
+// forgetBefore removes the limits that were named before a time.
+func (s *serviceLimits) forgetBefore(t time.Time) {
 	for n, l := range s.servers {
-		if l.namedAt.Before(sentAt) {
+		if l.namedAt.Before(t) {
 			delete(s.servers, n)
 		}
 	}
-	for _, named := range reply.Limits {
-		if _, newer := s.servers[named.Server]; !newer {
-			s.servers[named.Server] = knownLimit{named: named, namedAt: now.Add(-named.Age)}
+}
+
+// merge adds limits that a home holds, except where this VM knows newer ones.
+func (s *serviceLimits) merge(now time.Time, limits []pool.NamedLimit) {
+	for _, named := range limits {
+		at := now.Add(-named.Age)
+		if l, known := s.servers[named.Server]; !known || l.namedAt.Before(at) {
+			s.servers[named.Server] = knownLimit{named: named, namedAt: at}
 		}
 	}
 }
--- a/pkg/fleet/limits_test.go
+++ b/pkg/fleet/limits_test.go
@@ -51,6 +51,9 @@
 	return site.RequestLimit{}
 }
 
+// version returns the version of the limits at a home after some changes.
+func version(changes int64) pool.LimitVersion { return pool.LimitVersion{Since: 1, Changes: changes} }
+
 // TestHomeIsToldWhatAVMKnows guards against a home that decides on a request of a VM with
 // less knowledge of the servers' limits than that VM has.
 func TestHomeIsToldWhatAVMKnows(t *testing.T) {
@@ -60,16 +63,27 @@
 	req := k.ask(start, "vm-1")
 	assert.Equal(t, len(req.Limits), 1)
 	assert.Equal(t, len(k.ask(start, "vm-1").Limits), 1, "the first request has not been answered")
-	k.answered(start, req, 7, site.LimitOf(1))
+	k.answered(start, req, version(1), site.LimitOf(1))
 	assert.Equal(t, len(k.ask(start, "vm-1").Limits), 0, "told just now")
-	assert.Equal(t, k.ask(start, "vm-1").LimitVersion, pool.LimitVersion(7))
+	assert.Equal(t, k.ask(start, "vm-1").LimitVersion, version(1))
 	k.heard(start, site.LimitOf(0.5), nil)
 	assert.Equal(t, len(k.ask(start, "vm-1").Limits), 1, "the limit has changed")
-	k.answered(start, k.ask(start, "vm-1"), 8, site.LimitOf(0.5))
-	assert.Equal(t, len(k.ask(start.Add(limitsInterval), "vm-1").Limits), 1, "the home may have restarted")
+	k.answered(start, k.ask(start, "vm-1"), version(2), site.LimitOf(0.5))
 	next := k.ask(start, "vm-2")
 	assert.Equal(t, len(next.Limits), 1, "another home")
-	assert.Equal(t, next.LimitVersion, pool.LimitVersion(0))
+	assert.Equal(t, next.LimitVersion, pool.LimitVersion{})
+}
+
+// TestRestartedHomeLiftsNoLimit guards against a home that has restarted, knows no limit
+// and makes the VMs that ask it forget those that they know.
+func TestRestartedHomeLiftsNoLimit(t *testing.T) {
+	k := newVMLimits()
+	k.heard(start, site.LimitOf(1), nil)
+	k.answered(start, k.ask(start, "vm-1"), version(1), site.LimitOf(1))
+	later := start.Add(time.Second)
+	k.answered(later, k.ask(later, "vm-1"), pool.LimitVersion{Since: 2})
+	assert.Equal(t, k.known(later), site.LimitOf(1))
+	assert.Equal(t, len(k.ask(later, "vm-1").Limits), 1, "the home is told again")
 }
 
 // TestVMLearnsLimitsFromTheHome guards against a VM that loses all homes and sends a
@@ -77,18 +91,20 @@
 // ended.
 func TestVMLearnsLimitsFromTheHome(t *testing.T) {
 	k := newVMLimits()
-	k.answered(start, k.ask(start, "vm-1"), 7, site.LimitOf(2))
+	k.answered(start, k.ask(start, "vm-1"), version(1), site.LimitOf(2))
 	assert.Equal(t, k.known(start), site.LimitOf(2))
 	later := start.Add(time.Minute)
-	k.answered(later, k.ask(start, "vm-1"), 7)
+	k.answered(later, k.ask(start, "vm-1"), version(1))
 	assert.Equal(t, k.known(later), site.LimitOf(2), "the home has confirmed the version")
-	k.answered(later, k.ask(later, "vm-1"), 8)
+	k.answered(later, k.ask(later, "vm-1"), version(2))
 	assert.Equal(t, k.known(later), site.RequestLimit{}, "the limit has ended")
 	req := k.ask(later, "vm-1")
 	k.heard(later.Add(time.Millisecond), site.LimitOf(1), nil)
-	k.handleReply(later.Add(2*time.Millisecond), later, "vm-1", req, pool.LimitList{Version: 9})
+	k.handleReply(later.Add(2*time.Millisecond), later, "vm-1", req, pool.LimitList{Version: version(3)})
 	assert.Equal(t, k.known(later), site.LimitOf(1), "heard after the request was sent")
-	assert.Equal(t, k.known(later.Add(limitMemory+time.Second)), site.RequestLimit{}, "nobody has confirmed it")
+	k.answered(later.Add(time.Second), req, version(2), site.LimitOf(0.1))
+	assert.Equal(t, k.known(later), site.LimitOf(1), "a reply from before the last one")
+	assert.Equal(t, k.known(later.Add(limitMemory+2*time.Second)), site.RequestLimit{}, "nobody has confirmed it")
 }
 
 // TestInvalidLimitLiftsNoLimit guards against a limit that is lifted by a response whose
--- a/pkg/fleetapi/grants.go
+++ b/pkg/fleetapi/grants.go
@@ -19,7 +19,7 @@
 		Priority: int32(a.Priority), LeftMs: a.Left.Milliseconds(), TargetLeftMs: a.TargetLeft.Milliseconds(),
 		Fingerprint: string(a.Fingerprint), Sends: int32(a.Attempts), Attempts: int32(a.MaxAttempts), Ticket: int64(a.Ticket),
 		AtOnce: a.NoWait, Known: a.AlreadyCounted, Key: string(a.Key), Vm: a.VM,
-		Limits: fromNamedLimits(a.Limits), LimitVersion: int64(a.LimitVersion),
+		Limits: fromNamedLimits(a.Limits), LimitVersion: fromLimitVersion(a.LimitVersion),
 	}
 	for _, n := range a.Exclude {
 		req.Exclude = append(req.Exclude, string(n))
@@ -38,7 +38,7 @@
 		Fingerprint: quarantine.Fingerprint(m.GetFingerprint()), Attempts: int(m.GetSends()),
 		MaxAttempts: int(m.GetAttempts()), Ticket: pool.Ticket(m.GetTicket()),
 		NoWait: m.GetAtOnce(), AlreadyCounted: m.GetKnown(), Key: pool.IdempotencyKey(m.GetKey()), VM: m.GetVm(),
-		Limits: toNamedLimits(m.GetLimits()), LimitVersion: pool.LimitVersion(m.GetLimitVersion()),
+		Limits: toNamedLimits(m.GetLimits()), LimitVersion: toLimitVersion(m.GetLimitVersion()),
 	}
 	if m.GetRepeatable() {
 		a.Class = site.Repeatable
@@ -52,7 +52,7 @@
 // FromReply converts the reply to a request for a slot.
 func FromReply(r home.Reply) *AcquireAnswer {
 	m := fromDecision(r.Decision)
-	m.LimitVersion, m.Limits = int64(r.Limits.Version), fromNamedLimits(r.Limits.Limits)
+	m.LimitVersion, m.Limits = fromLimitVersion(r.Limits.Version), fromNamedLimits(r.Limits.Limits)
 	return m
 }
 
@@ -62,7 +62,7 @@
 	d, ok := toDecision(m)
 	return home.Reply{
 		Decision: d,
-		Limits:   pool.LimitList{Version: pool.LimitVersion(m.GetLimitVersion()), Limits: toNamedLimits(m.GetLimits())},
+		Limits:   pool.LimitList{Version: toLimitVersion(m.GetLimitVersion()), Limits: toNamedLimits(m.GetLimits())},
 	}, ok
 }
 
--- a/pkg/fleetapi/limits.go
+++ b/pkg/fleetapi/limits.go
@@ -58,6 +58,16 @@
 	return out
 }
 
+// fromLimitVersion converts the version of the limits at a home.
+func fromLimitVersion(v pool.LimitVersion) *LimitVersion {
+	return &LimitVersion{SinceUnixUs: v.Since, Changes: v.Changes}
+}
+
+// toLimitVersion converts the version of the limits at a home; nil stands for none.
+func toLimitVersion(m *LimitVersion) pool.LimitVersion {
+	return pool.LimitVersion{Since: m.GetSinceUnixUs(), Changes: m.GetChanges()}
+}
+
 // FromLimitReport converts what a response says about its server's limit.
 func FromLimitReport(r home.LimitReport) *ReportLimitRequest {
 	return &ReportLimitRequest{Service: string(r.Service), Grant: int64(r.Grant), Named: fromNamedLimit(r.Named)}
--- a/pkg/pool/bench_test.go
+++ b/pkg/pool/bench_test.go
@@ -1,6 +1,7 @@
 package pool_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -83,3 +84,26 @@
 	}
 	b.ReportMetric(float64(p.Stats(now).Queued), "queued")
 }
+
+// BenchmarkLimitedServers measures one request at a service of 20 servers that all name a
+// limit, with a queue that is as long as the deadlines allow.
+func BenchmarkLimitedServers(b *testing.B) {
+	p := newPool(20, 3)
+	for i := range 20 {
+		p.MergeLimits(start, []pool.NamedLimit{{Server: site.ServerName(fmt.Sprintf("s-%d", i)), Limit: site.LimitOf(2)}})
+	}
+	now := start
+	for b.Loop() {
+		now = now.Add(2500 * time.Microsecond)
+		for _, w := range p.DispatchQueue(now) {
+			if g, ok := w.Decision.(pool.Granted); ok {
+				p.Release(now, g, pool.Served{Rule: reads, Took: 30 * time.Millisecond})
+			}
+		}
+		r := aRequest("a")
+		r.Deadline = now.Add(2 * time.Second)
+		if g, ok := p.Admit(now, r).(pool.Granted); ok {
+			p.Release(now, g, pool.Served{Rule: reads, Took: 30 * time.Millisecond})
+		}
+	}
+}
--- a/pkg/pool/limit.go
+++ b/pkg/pool/limit.go
@@ -30,9 +30,11 @@
 	VM        string        // That got the response.
 }
 
-// LimitVersion identifies the limits in force at a home. It is zero as long as there
-// have been none.
-type LimitVersion int64
+// LimitVersion identifies the limits in force at a home.
+type LimitVersion struct {
+	Since   int64 // When the home created its pool, in Unix microseconds.
+	Changes int64 // Changes of limits since then.
+}
 
 // LimitList holds all limits in force at a home.
 type LimitList struct {
@@ -131,14 +133,14 @@
 }
 
 func (p *Pool) changeLimit(now time.Time, v *server, n NamedLimit) LimitChange {
-	p.limitVersion = max(p.limitVersion+1, LimitVersion(now.UnixMicro()))
+	p.limitVersion.Changes++
 	c := LimitChange{Server: v.cfg.Name, Before: v.limit, After: n.Limit, NamedTo: n.VM, Age: n.Age}
 	v.setLimit(now, n, v.lastGrant, p.limitShare)
 	v.namedAt = now.Add(-n.Age)
 	return c
 }
 
-// LimitVersion returns the version of the limits in force. Those of two homes differ.
+// LimitVersion returns the version of the limits in force.
 func (p *Pool) LimitVersion() LimitVersion { return p.limitVersion }
 
 // LimitList returns the limits in force.
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -155,6 +155,7 @@
 		queue:         newQueue(),
 		budget:        newBudget(now, set.Retry),
 		slowResponses: newWindow(slowWindowParts),
+		limitVersion:  LimitVersion{Since: now.UnixMicro()},
 		limitShare:    1,
 		grants:        make(map[GrantID]*outstanding),
 		latencies:     make(map[site.RuleName]latencyEstimate),
--- a/pkg/trial/limits_of_servers_test.go
+++ b/pkg/trial/limits_of_servers_test.go
@@ -294,3 +294,54 @@
 	wg.Wait()
 	return replies
 }
+
+// TestFloorAndLimitsHoldTogether guards against limits that keep requests from the sound
+// servers without one, and against a floor that is met beyond the limits. A third of the
+// servers name limits, the others fail in streaks.
+func TestFloorAndLimitsHoldTogether(t *testing.T) {
+	for seed := range *limitSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			withFleet(t, "tt-north", trial.Options{VMs: 8, Seed: seed}, func(t *testing.T, f *trial.Fleet) {
+				checkFloorAndLimits(t, f, seed)
+			})
+		})
+	}
+}
+
+func checkFloorAndLimits(t *testing.T, f *trial.Fleet, seed uint64) {
+	t.Helper()
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	results := make([]soundServers, len(limitedLoads))
+	var limited []*standin.Server
+	for i, l := range limitedLoads {
+		wg.Go(func() { l.send(f, f.Serving, rand.New(rand.NewPCG(seed, uint64(i))), stop) })
+		names := f.Plan.Service(l.service).ServerNames()
+		cut := len(names) / 3
+		results[i].streaks = make([][]streak, len(names)-cut)
+		for j, n := range names {
+			rng := rand.New(rand.NewPCG(seed, uint64(100*i+j+10)))
+			if j < cut {
+				limited = append(limited, f.Servers[n])
+				f.Servers[n].SetFaults(standin.Faults{Limit: constantLimit(rng)[0]})
+				continue
+			}
+			wg.Go(func() { results[i].streaks[j-cut] = failInStreaks(f.Servers[n], rng, stop) })
+		}
+	}
+	begin := time.Now()
+	time.Sleep(floorLength)
+	close(stop)
+	wg.Wait()
+	for i, l := range limitedLoads {
+		arrivals := f.ArrivalsOf(l.service)
+		results[i].runs = arrivals[len(arrivals)/3:]
+		least, at := results[i].leastUsed(begin.Add(4*time.Second), begin.Add(floorLength))
+		assert.Check(t, least >= standin.FloorShare, "%s: in the two seconds before %v only %.2f of the sound servers got requests", l.service, at.Sub(begin), least)
+	}
+	for _, s := range limited {
+		w := s.Limits().WorstWindow()
+		assert.Check(t, !w.Violated, "%s got %d requests, allowed %.1f at a limit of %v", s.Name(), w.Got, w.Allowed, w.AtMost)
+		assert.Check(t, s.Limits().ArrivedSince(begin.Add(floorLength/2)) > 0, "%s got no request in the last ten seconds", s.Name())
+	}
+}
