claim: a lost reply to a claim is settled by the record, not by the revision

Cause: the row that is read back was expected at the revision after the old one, but that store numbers the revisions of all rows together.

The record that is read back names attempt and phase; these decide. A row still at the old revision proves nothing, as before. Ruled out: another write of the same attempt and phase (each is made once).

--- a/pkg/claim/ledger.go
+++ b/pkg/claim/ledger.go
@@ -115,7 +115,8 @@
 }
 
 // readBack finds out whether a write took effect whose response was lost. A row that
-// is still at the old revision proves nothing: the write may be in flight.
+// is still at the old revision proves nothing: the write may be in flight. How far a row's
+// revision rises with a write is the store's affair, so the record itself decides.
 func (l *Ledger) readBack(ctx context.Context, req Request, expect store.Revision, r *record, cause error) WriteResult {
 	row, err := l.table.Get(ctx, req.ID.Row())
 	if err != nil || row.Revision <= expect {
@@ -125,7 +126,7 @@
 	if err := json.Unmarshal(row.Value, &got); err != nil {
 		return Indeterminate{err}
 	}
-	if row.Revision == expect+1 && got.Attempt == r.Attempt && got.Phase == r.Phase {
+	if got.Attempt == r.Attempt && got.Phase == r.Phase {
 		return Written{row.Revision}
 	}
 	return Conflict{}
