caller: no response behind a body that the connection's end marks

Cause: the second request was accepted before the first response chose its framing, and then the connection had to be closed behind the first.

A request behind one of HTTP/1.0 now waits for that one's response; if the response ends the connection, the request counts as not read and the caller sends it again. HTTP/1.1 is unchanged. Measured: TestNoResponseBehindAnUnframedBody failed before (102,501 bytes instead of 102,400), passes, with a second request of either version; caller's tests pass. Ruled out: a limit on what is buffered (a body of any length may have no length).

--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -48,6 +49,10 @@
 		_, _ = io.WriteString(w, "half")
 		panic(http.ErrAbortHandler)
 	}
+	if strings.HasSuffix(r.URL.Path, "/long") {
+		_, _ = w.Write(bytes.Repeat([]byte("x"), 100<<10))
+		return
+	}
 	body, _ := io.ReadAll(r.Body)
 	_, _ = fmt.Fprintf(w, "%s %s", r.URL.Path, body)
 }
@@ -154,6 +159,27 @@
 	})
 }
 
+// TestNoResponseBehindAnUnframedBody guards against a response that is written into the
+// body of the one before: to an HTTP/1.0 caller, only the end of the connection marks the
+// end of a body of unknown length. The second request counts as not read.
+func TestNoResponseBehindAnUnframedBody(t *testing.T) {
+	const length = 100 << 10
+	for _, second := range []string{"GET /0ms/b HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n", get("/0ms/b")} {
+		withServer(t, func(f *fixture) {
+			c, r := f.dial()
+			f.send(c, "GET /50ms/long HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n"+second)
+			resp, err := http.ReadResponse(r, nil)
+			assert.NilError(t, err)
+			body, err := io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			assert.NilError(t, resp.Body.Close())
+			assert.Equal(t, len(body), length)
+			assert.Equal(t, strings.Trim(string(body), "x"), "")
+			assert.DeepEqual(t, f.h.list(&f.h.began), []string{"/50ms/long"})
+		})
+	}
+}
+
 func TestDisconnectCancelsRunningRequests(t *testing.T) {
 	for _, behind := range []string{"", get("/9s/b"), get("/9s/b") + post("/0ms/c", "x")} {
 		t.Run(fmt.Sprint(len(behind)), func(t *testing.T) {
--- a/pkg/caller/conn.go
+++ b/pkg/caller/conn.go
@@ -153,13 +153,14 @@
 var errCallerGone = errors.New("the caller disconnected")
 
 // enqueue appends a request to the queue. It waits until the queue has room or, for
-// a request that may not run in parallel, is empty. It returns nil if the
-// connection is closing or broken; the request then counts as not read.
+// a request that may not run in parallel or comes behind one of HTTP/1.0, is empty. It
+// returns nil if the connection is closing or broken; the request then counts as not
+// read.
 func (c *conn) enqueue(req *http.Request, at time.Time) *exchange {
 	parallel := c.srv.cfg.Parallel(req)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for !c.closing && !c.broken && (len(c.queue) >= maxPipelined || (len(c.queue) > 0 && !parallel)) {
+	for !c.closing && !c.broken && (len(c.queue) >= maxPipelined || (len(c.queue) > 0 && !parallel) || c.mayEndWithResponse()) {
 		c.exchangeEnded.Wait()
 	}
 	if c.closing || c.broken {
@@ -173,6 +174,14 @@
 	return x
 }
 
+// mayEndWithResponse reports whether the response to the last request may have to end
+// the connection: a caller of HTTP/1.0 knows no other end of a body of unknown length.
+// The caller must hold c.mu.
+func (c *conn) mayEndWithResponse() bool {
+	n := len(c.queue)
+	return n > 0 && c.queue[n-1].isHTTP10()
+}
+
 // closeIfIdle closes the connection if it has no unanswered or partly read request.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
