backend, standin: bounded heads, no unnamed response on a reused connection

Cause: the head of a response was read without a bound (http.ReadResponse has none), so a server whose bytes never end took memory until the request's deadline; and on a reused connection a late second response that names no request (a 500, a 404) was taken for the next caller's. Ruled out: bodies. Go's chunked reader bounds chunk lines and trailers; large bodies are passed on with one buffer. Now: 64 KiB of heads an exchange, interim responses included; the platform's contract says that servers echo, so an unnamed response on a reused connection is invalid unless it is a refusal.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -22,11 +23,14 @@
 	reused      bool  // The connection has carried an earlier request.
 	idleSince   time.Time
 	idleTimeout time.Duration // How long the connection may be idle before it must not be reused.
+	received    bool          // A byte has come since the current request was written.
+	limited     bool          // Only readLeft more bytes may be read from the socket.
+	readLeft    int
 }
 
 func newConn(nc net.Conn) *conn {
 	c := &conn{nc: nc, idleTimeout: maxIdleTime}
-	c.r = bufio.NewReaderSize(nc, bufferSize)
+	c.r = bufio.NewReaderSize(limitedReader{c}, bufferSize)
 	c.w = bufio.NewWriterSize(countingWriter{c}, bufferSize)
 	return c
 }
@@ -41,6 +45,36 @@
 	return n, err
 }
 
+// maxHeadBytes bounds the heads of an exchange, with those of interim responses, and one
+// buffer of what follows them. A peer may send bytes that are no response and never end.
+const maxHeadBytes = 64 << 10
+
+// errHeadTooLarge means that a response has no complete head within maxHeadBytes.
+var errHeadTooLarge = fmt.Errorf("the heads of the response are larger than %d bytes", maxHeadBytes)
+
+// limitedReader reads from the socket, and returns errHeadTooLarge after the bytes that are
+// allowed.
+type limitedReader struct{ c *conn }
+
+func (r limitedReader) Read(p []byte) (int, error) {
+	if r.c.limited {
+		if r.c.readLeft <= 0 {
+			return 0, errHeadTooLarge
+		}
+		p = p[:min(len(p), r.c.readLeft)]
+	}
+	n, err := r.c.nc.Read(p)
+	r.c.readLeft -= n
+	r.c.received = r.c.received || n > 0
+	return n, err
+}
+
+// allowBytes lets n more bytes be read from the socket.
+func (c *conn) allowBytes(n int) { c.limited, c.readLeft = true, n }
+
+// allowAll lifts the limit of allowBytes.
+func (c *conn) allowAll() { c.limited = false }
+
 // peeker is implemented by connections that can report whether a read would return
 // at once, such as those of the tests' network.
 type peeker interface{ Readable() bool }
--- a/pkg/backend/connpool.go
+++ b/pkg/backend/connpool.go
@@ -104,7 +104,7 @@
 // full, the connection that has been idle longest is closed.
 func (p *ConnPool) put(now time.Time, c *conn) {
 	c.idleSince = now
-	c.written = 0
+	c.written, c.received = 0, false
 	p.mu.Lock()
 	var old *conn
 	if len(p.idle) >= maxIdleConns {
--- a/pkg/backend/contract.go
+++ b/pkg/backend/contract.go
@@ -16,6 +16,11 @@
 	// HeaderLimit is the response header in which a server names its
 	// site.RequestLimit. If it is empty, it is HeaderRequestLimit.
 	HeaderLimit string
+	// HeaderLeaving is the response header in which a server says that it leaves. If it is
+	// empty, it is HeaderServerLeaving.
+	HeaderLeaving string
+	// RequiresEcho means that servers echo the ID of each request that they do not refuse.
+	RequiresEcho bool
 	// Refused reports whether a response means that the server has not run the
 	// request and never will. The reason is one of the Refused constants. If
 	// Refused is nil, the HeaderRefused header is used.
@@ -31,11 +36,15 @@
 // Refusal reports whether the server refused the request without running its
 // handler, and why.
 func (c Contract) Refusal(resp *Response) (reason string, refused bool) {
+	return c.refusal(resp.Status, resp.Header)
+}
+
+func (c Contract) refusal(status int, h http.Header) (reason string, refused bool) {
 	if c.Refused != nil {
-		return c.Refused(resp.Status, resp.Header)
+		return c.Refused(status, h)
 	}
-	v := resp.Header.Get(HeaderRefused)
-	if resp.Status != http.StatusServiceUnavailable || v == "" {
+	v := h.Get(HeaderRefused)
+	if status != http.StatusServiceUnavailable || v == "" {
 		return "", false
 	}
 	switch v {
--- a/pkg/backend/send.go
+++ b/pkg/backend/send.go
@@ -25,6 +25,9 @@
 	// HeaderRequestLimit names, in a response, how many requests per second the server
 	// takes from all VMs together. A response without it means that there is no limit.
 	HeaderRequestLimit = "Laburnumpick-Request-Limit"
+	// HeaderServerLeaving says, in all responses of a server that stops soon, that it must
+	// get no new requests. Its value is ServerLeaves.
+	HeaderServerLeaving = "Laburnumpick-Server-Leaving"
 )
 
 // Reasons for which a server refuses a request.
@@ -54,11 +57,22 @@
 	ReusedConnTimeout time.Duration // Replaces ResponseTimeout on a reused connection, which may be dead.
 	MaxBufferedBody   int           // Largest body, in bytes, that is buffered until it is complete.
 	Contract          Contract
+	// BeforeWrite is called when the connection is open, right before the first byte of the
+	// request is written. If it returns an error, nothing is written. It may be nil.
+	BeforeWrite func(now time.Time) error
 	// OnHead is called with the head of the final response, before its body is read. It
 	// is not called for heads that cannot belong to the request. It may be nil.
 	OnHead func(status int, h http.Header)
 }
 
+// checkBeforeWrite returns the error of BeforeWrite, if it is set.
+func (o *Options) checkBeforeWrite(now time.Time) error {
+	if o.BeforeWrite == nil {
+		return nil
+	}
+	return o.BeforeWrite(now)
+}
+
 // Response is a response with a complete head. A body of up to
 // Options.MaxBufferedBody is complete too.
 type Response struct {
@@ -69,6 +83,8 @@
 	// returns an error other than io.EOF if the body is incomplete. The caller
 	// must close it.
 	BodyRemainder io.ReadCloser
+	// CloseDelimited means that the body ends with the connection.
+	CloseDelimited bool
 }
 
 // Stage is how far a request got before it failed.
@@ -88,6 +104,7 @@
 type Error struct {
 	Stage    Stage
 	Reused   bool // The connection had carried an earlier request.
+	Received bool // Bytes came after the request was written.
 	TimedOut bool // The response timeout expired.
 	cause    error
 }
@@ -117,6 +134,10 @@
 	if err != nil {
 		return nil, &Error{Stage: NotSent, cause: err}
 	}
+	if err := o.checkBeforeWrite(time.Now()); err != nil {
+		c.close()
+		return nil, &Error{Stage: NotSent, Reused: c.reused, cause: err}
+	}
 	x := &exchange{pool: p, conn: c, ctx: ctx, responseTimeout: o.ResponseTimeout, contract: o.Contract, onHead: o.OnHead}
 	if c.reused {
 		x.responseTimeout = o.ReusedConnTimeout
@@ -156,8 +177,8 @@
 	if err != nil {
 		return nil, x.newError(NoResponse, errors.Join(writeErr, err))
 	}
-	if echo := resp.Header.Get(HeaderRequestID); echo != "" && req.ID != "" && echo != req.ID {
-		return nil, x.newError(InvalidResponse, fmt.Errorf("received the response to request %q for request %q", echo, req.ID))
+	if err := x.checkEcho(req, resp); err != nil {
+		return nil, x.newError(InvalidResponse, err)
 	}
 	unframed := resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	if unframed && !x.contract.AllowCloseDelimited {
@@ -169,9 +190,31 @@
 	if x.onHead != nil {
 		x.onHead(resp.StatusCode, resp.Header)
 	}
-	x.reusable = !resp.Close && !unframed && writeErr == nil
+	leaves, _ := x.contract.Leaving(resp.Header) // The receiver of onHead logs an invalid value.
+	x.reusable = !resp.Close && !unframed && !leaves && writeErr == nil
 	x.conn.updateIdleTimeout(resp.Header)
-	return x.readBody(resp, maxBuffered)
+	out, err := x.readBody(resp, maxBuffered)
+	if err != nil {
+		return nil, err
+	}
+	out.CloseDelimited = unframed
+	return out, nil
+}
+
+// checkEcho returns an error if a response may belong to another request. On a reused
+// connection it may be a second response to the previous one, which only the ID tells.
+func (x *exchange) checkEcho(req *Request, resp *http.Response) error {
+	echo := resp.Header.Get(HeaderRequestID)
+	if echo != "" && req.ID != "" && echo != req.ID {
+		return fmt.Errorf("received the response to request %q for request %q", echo, req.ID)
+	}
+	if echo != "" || !x.conn.reused || !x.contract.RequiresEcho {
+		return nil
+	}
+	if _, refused := x.contract.refusal(resp.StatusCode, resp.Header); refused {
+		return nil
+	}
+	return errors.New("the response on a reused connection does not name its request")
 }
 
 func (x *exchange) write(req *Request) error {
@@ -192,6 +235,8 @@
 // readHead reads the head of the final response. Each interim response restarts the
 // response timeout.
 func (x *exchange) readHead() (*http.Response, error) {
+	x.conn.allowBytes(maxHeadBytes)
+	defer x.conn.allowAll()
 	for {
 		if err := x.armResponseTimeout(); err != nil {
 			return nil, err
@@ -261,7 +306,7 @@
 	if err := x.ctx.Err(); err != nil {
 		cause = err
 	}
-	return &Error{Stage: s, Reused: x.conn.reused, TimedOut: timedOut, cause: cause}
+	return &Error{Stage: s, Reused: x.conn.reused, Received: x.conn.received, TimedOut: timedOut, cause: cause}
 }
 
 // release returns the connection to the pool if keep is set and the context has not
--- a/pkg/standin/server.go
+++ b/pkg/standin/server.go
@@ -35,6 +35,15 @@
 	// set.
 	Limit           string `json:"limit,omitempty" yaml:"limit"`
 	RefuseOverLimit bool   `json:"refuseOverLimit,omitempty" yaml:"refuseOverLimit"`
+	// Leaving makes each response say that the server leaves. It serves on.
+	Leaving bool `json:"leaving,omitempty" yaml:"leaving"`
+	// RetryAfter is the Retry-After with which the server refuses a share of the requests;
+	// empty if it refuses none.
+	RetryAfter      string  `json:"retryAfter,omitempty" yaml:"retryAfter"`
+	RetryAfterShare float64 `json:"retryAfterShare,omitempty" yaml:"retryAfterShare"`
+	// EndlessBytes is where the server sends bytes that are no response and never end;
+	// empty if it does not.
+	EndlessBytes EndlessPlace `json:"endlessBytes,omitempty" yaml:"endlessBytes"`
 }
 
 // HeaderDurationMicros is the response header that holds the processing time in
@@ -72,8 +81,9 @@
 // Server is a backend server that injects faults and records the requests that it
 // runs.
 type Server struct {
-	cfg    ServerConfig
-	limits LimitLog
+	cfg     ServerConfig
+	limits  LimitLog
+	notices NoticeLog
 
 	mu           sync.Mutex
 	rng          *rand.Rand
@@ -83,6 +93,7 @@
 	shedCount    int
 	refusalTimes []time.Time   // When requests arrived while the server was draining.
 	lastDeadline time.Duration // Time left according to the last request's header.
+	endlessBytes int           // See MostEndlessBytes.
 	http         *http.Server
 	address      string
 	closed       bool
@@ -136,11 +147,20 @@
 // server's responses have named.
 func (s *Server) Limits() *LimitLog { return &s.limits }
 
-// nameLimit writes the server's limit to the head of a response.
-func (s *Server) nameLimit(h http.Header) {
+// Notices returns the record of the requests that arrived from each VM, and of what the
+// server's responses have told them.
+func (s *Server) Notices() *NoticeLog { return &s.notices }
+
+// describe writes what the server says about itself to the head of a response to a VM: its
+// limit on requests, and that it leaves.
+func (s *Server) describe(h http.Header, vm string) {
 	s.mu.Lock()
-	text := s.faults.Limit
+	text, leaving := s.faults.Limit, s.faults.Leaving
 	s.mu.Unlock()
+	if leaving {
+		h.Set(backend.HeaderServerLeaving, backend.ServerLeaves)
+		s.notices.Leave(time.Now(), vm)
+	}
 	if text != "" {
 		h.Set(backend.HeaderRequestLimit, text)
 	}
@@ -220,7 +240,9 @@
 // the value of backend.HeaderRefused.
 type responsePlan struct {
 	faults   Faults
+	vm       string // Host that sent the request.
 	refusal  string
+	paused   bool // The refusal has a Retry-After.
 	duration time.Duration
 	fail     bool
 	truncate bool
@@ -230,7 +252,7 @@
 
 // admit decides how to handle a request. It occupies a slot unless the request is
 // refused.
-func (s *Server) admit(mark, deadlineMs string) responsePlan {
+func (s *Server) admit(vm, mark, deadlineMs string) responsePlan {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ms, err := strconv.Atoi(deadlineMs); err == nil {
@@ -238,8 +260,11 @@
 	}
 	now := time.Now()
 	s.limits.Arrive(now)
-	p := responsePlan{faults: s.faults}
+	s.notices.Arrive(now, vm)
+	p := responsePlan{faults: s.faults, vm: vm}
 	switch {
+	case s.faults.RetryAfter != "" && s.rng.Float64() < s.faults.RetryAfterShare:
+		p.refusal, p.paused = backend.RefusedShed, true
 	case s.faults.RefuseOverLimit && s.isOverLimit(now):
 		s.shedCount++
 		p.refusal = backend.RefusedShed
@@ -285,11 +310,9 @@
 		return
 	}
 	mark := r.Header.Get(HeaderMark)
-	p := s.admit(mark, r.Header.Get(backend.HeaderDeadlineMs))
+	p := s.admit(hostOf(r.RemoteAddr), mark, r.Header.Get(backend.HeaderDeadlineMs))
 	if p.refusal != "" {
-		s.nameLimit(w.Header())
-		w.Header().Set(backend.HeaderRefused, p.refusal)
-		http.Error(w, p.refusal, http.StatusServiceUnavailable)
+		s.refuse(w, p)
 		return
 	}
 	defer s.finish()
@@ -307,6 +330,19 @@
 	s.respond(w, r, p, mark)
 }
 
+// refuse writes a refusal.
+func (s *Server) refuse(w http.ResponseWriter, p responsePlan) {
+	s.describe(w.Header(), p.vm)
+	w.Header().Set(backend.HeaderRefused, p.refusal)
+	if p.paused {
+		w.Header().Set("Retry-After", p.faults.RetryAfter)
+		if d, err := strconv.ParseFloat(p.faults.RetryAfter, 64); err == nil && d > 0 {
+			s.notices.Pause(time.Now(), p.vm, time.Duration(d*float64(time.Second)))
+		}
+	}
+	http.Error(w, p.refusal, http.StatusServiceUnavailable)
+}
+
 // ResponseBody returns the body of the correct response to a request with the
 // given mark: the size, the mark, and padding up to size bytes.
 func ResponseBody(mark string, size int) []byte {
@@ -324,7 +360,7 @@
 	w.Header().Set(backend.HeaderRequestID, id)
 	w.Header().Set("Content-Type", "text/plain")
 	if !p.close && !p.mismatch { // Otherwise no VM can learn it.
-		s.nameLimit(w.Header())
+		s.describe(w.Header(), p.vm)
 	}
 	w.Header().Set(HeaderDurationMicros, strconv.FormatInt(p.duration.Microseconds(), 10))
 	size, _ := strconv.Atoi(r.URL.Query().Get("size"))
@@ -332,10 +368,12 @@
 	switch {
 	case p.close:
 		panic(http.ErrAbortHandler)
+	case p.faults.EndlessBytes != "":
+		s.respondEndlessly(w, p.faults.EndlessBytes)
 	case p.fail:
 		http.Error(w, "out of order", http.StatusInternalServerError)
 	case p.truncate || p.faults.TrailingBytes:
-		s.respondRaw(w, id, body, p)
+		s.respondRaw(w, body, p)
 	default:
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = w.Write(body)
@@ -344,18 +382,17 @@
 
 // respondRaw writes a response whose Content-Length does not match the data that
 // is sent: the body is truncated, or followed by a second response.
-func (s *Server) respondRaw(w http.ResponseWriter, id string, body []byte, p responsePlan) {
-	limit := w.Header().Get(backend.HeaderRequestLimit)
+func (s *Server) respondRaw(w http.ResponseWriter, body []byte, p responsePlan) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	h := w.Header().Clone()
 	c, buf, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = c.Close() }()
-	_, _ = fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\n%s: %s\r\n", backend.HeaderRequestID, id)
-	if limit != "" {
-		_, _ = fmt.Fprintf(buf, "%s: %s\r\n", backend.HeaderRequestLimit, limit)
-	}
-	_, _ = fmt.Fprintf(buf, "Content-Length: %d\r\n\r\n", len(body))
+	_, _ = io.WriteString(buf, "HTTP/1.1 200 OK\r\n")
+	_ = h.Write(buf)
+	_, _ = io.WriteString(buf, "\r\n")
 	if p.truncate {
 		body = body[:len(body)/2]
 	} else {
