notice, dispatch, pool, home: VMs keep to what servers tell them

Cause: the users' servers now say in their responses that they leave, and in a 503 for how long they want no requests from that VM (Server-Leaving, Retry-After); nothing read either. Now: each VM keeps what it has read (pkg/notice) and checks it when a grant comes and right before the first byte is written, together with the request's deadline, so that a process that was paused writes nothing late. Homes are told (leaving at once, pauses with the next request for a slot), standbys are told who leaves; new and restarted homes are told anew. All servers paused: a short wait, or a refusal at once with the earliest end (serverPauses). Ruled out: gossip to all VMs, exclusions in each request (docs/design/07-platform.md).

--- a/cmd/laburnumbench/soak/soak.go
+++ b/cmd/laburnumbench/soak/soak.go
@@ -266,8 +266,15 @@
 	case ServerFault:
 		srv := s.servers[index]
 		srv.SetFaults([]standin.ServerFaults{
-			{SlowFactor: 8}, {ErrorShare: 0.5}, {ResetShare: 0.8}, {TruncateShare: 0.5}, {DuplicateShare: 0.5}, {ShedShare: 0.6}, {Unresponsive: true},
-		}[e.Variant%7])
+			{SlowFactor: 8},
+			{ErrorShare: 0.5},
+			{ResetShare: 0.8},
+			{TruncateShare: 0.5},
+			{DuplicateShare: 0.5},
+			{ShedShare: 0.6},
+			{Unresponsive: true},
+			{ShedShare: 0.6, RetryAfter: "1.5"},
+		}[e.Variant%8])
 		return func() error {
 			srv.SetFaults(standin.ServerFaults{})
 			return nil
--- a/cmd/laburnumpick/command/command.go
+++ b/cmd/laburnumpick/command/command.go
@@ -175,11 +175,11 @@
 func formatTime(ms int64) string { return time.UnixMilli(ms).UTC().Format("15:04:05.000") }
 
 func printServers(w *tabwriter.Writer, view *fleetapi.BelieveAnswer) {
-	printRow(w, "POOL", "SERVER", "STATE", "SINCE", "IN USE", "SLOTS", "SCORE", "LIMIT", "REASON")
+	printRow(w, "POOL", "SERVER", "STATE", "SINCE", "IN USE", "SLOTS", "SCORE", "LIMIT", "VMS PAUSED", "REASON")
 	for _, p := range view.GetPools() {
 		for _, s := range p.GetServers() {
 			printRow(w, p.GetService(), s.GetName(), s.GetState(), formatTime(s.GetSinceUnixMs()),
-				s.GetInUse(), s.GetSlots(), fmt.Sprintf("%.1f", s.GetScore()), formatLimit(s), s.GetReason())
+				s.GetInUse(), s.GetSlots(), fmt.Sprintf("%.1f", s.GetScore()), formatLimit(s), s.GetPausedVms(), s.GetReason())
 		}
 	}
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"laburnumpick.org/pkg/fleetapi"
 	"laburnumpick.org/pkg/home"
 	"laburnumpick.org/pkg/journal"
+	"laburnumpick.org/pkg/notice"
 	"laburnumpick.org/pkg/operator"
 	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/quarantine"
@@ -108,6 +109,7 @@
 	tel           *telemetry.Telemetry
 	replica       *catalog.Replica
 	registry      *registry.Replica
+	notices       *notice.Memory
 	home          *home.Home
 	dispatcher    *dispatch.Dispatcher
 	callers       *caller.Server
@@ -131,7 +133,7 @@
 	}
 	d := &Daemon{
 		set: set, tel: telemetry.New(set.VM.Name, set.Trace.SampleRatio, set.Trace.MaxSpans),
-		replica: catalog.NewReplica(), registry: registry.NewReplica(), stopRequested: make(chan struct{}),
+		replica: catalog.NewReplica(), registry: registry.NewReplica(), notices: notice.NewMemory(), stopRequested: make(chan struct{}),
 		addr: ls.addresses(set),
 	}
 	d.current.Store(set)
@@ -271,7 +273,7 @@
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Site: site.Name(set.VM.Site), DataCentre: self.DataCentre,
 		Holder: claim.Holder{VM: set.VM.Name, Address: d.addr.VMs}, Homes: d.node,
-		Dial: nw.Dial, Contract: p.Contract, Registry: d.registry, Store: p.Store, Journal: jr,
+		Dial: nw.Dial, Contract: p.Contract, Registry: d.registry, Notices: d.notices, Store: p.Store, Journal: jr,
 		Tracer: d.tel.Tracer, Scope: d.tel.Scope.SubScope("dispatch"), MaxBufferedBody: set.Limits.BufferedResponseBytes,
 	})
 	d.entry = entry.New(d.entryConfig(self))
@@ -320,7 +322,7 @@
 func (d *Daemon) nodeConfig(nw Network, p Platform, self roster.VM, jr *journal.Journal) fleet.Config {
 	now := time.Now()
 	cfg := fleet.Config{
-		Self: self, Store: p.Store, Source: p.Source, Replica: d.replica, Home: d.home, Journal: jr,
+		Self: self, Store: p.Store, Source: p.Source, Replica: d.replica, Home: d.home, Notices: d.notices, Journal: jr,
 		HTTP: &http.Client{Transport: fleet.HeaderStripper{Next: d.transport(nw)}}, Dial: nw.Dial, Token: d.set.Access.FleetToken,
 		Scope: d.tel.Scope.SubScope("fleet"), Rand: rand.New(rand.NewPCG(uint64(now.UnixNano()), 0)),
 		Servers: p.Servers, Registry: d.registry, Keyed: keyed{d}, Standalone: nw.Standalone,
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"laburnumpick.org/pkg/control"
 	"laburnumpick.org/pkg/home"
 	"laburnumpick.org/pkg/journal"
+	"laburnumpick.org/pkg/notice"
 	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/registry"
 	"laburnumpick.org/pkg/site"
@@ -35,6 +36,9 @@
 	// ObserveLimit records what a response to the grant says about the limit of the
 	// service's server. It does not block.
 	ObserveLimit(n site.ServiceName, o ObservedLimit)
+	// ReportNotices tells the home what the service's servers have told this VM. It does
+	// not block.
+	ReportNotices(n site.ServiceName)
 }
 
 // Config holds the settings and dependencies of a Dispatcher.
@@ -46,6 +50,7 @@
 	Dial            backend.Dialer
 	Contract        backend.Contract
 	Registry        *registry.Replica
+	Notices         *notice.Memory // What servers have told this VM.
 	Store           store.Table
 	Journal         *journal.Journal
 	Tracer          trace.Tracer
--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -90,8 +90,9 @@
 	if refused != nil {
 		return nil, refused
 	}
-	if d.isUnlisted(s.Grant().Server) {
-		d.releaseSlot(j, s, pool.Declined{Reason: pool.Unlisted})
+	if reason := d.declineGrant(time.Now(), j.Match.Service, s.Grant().Server); reason != "" {
+		d.cfg.Scope.Tagged(map[string]string{"reason": string(reason)}).Counter("declinedGrants").Inc(1)
+		d.releaseSlot(j, s, pool.Declined{Reason: reason})
 		return d.requestOtherSlot(ctx, j, res, noWait, s.Grant().Server.Name)
 	}
 	return s, nil
@@ -162,7 +163,9 @@
 		return
 	}
 	t.response.BodyRemainder = &slotReader{ReadCloser: t.response.BodyRemainder, release: func(err error) {
-		if err != nil && ctx.Err() == nil {
+		// A body with a length may be late because the caller reads slowly.
+		endless := t.response.CloseDelimited && errors.Is(ctx.Err(), context.DeadlineExceeded)
+		if err != nil && (ctx.Err() == nil || endless) {
 			t.report = pool.Failed{Rule: j.Match.Rule, Detail: "response truncated: " + err.Error()}
 		}
 		t.cancel()
@@ -185,7 +188,8 @@
 	defer span.End()
 	opts := backend.Options{
 		NewConn: j.Match.Class != site.Repeatable, MaxBufferedBody: d.cfg.MaxBufferedBody, Contract: d.cfg.Contract,
-		OnHead: func(status int, h http.Header) { d.observeLimit(j, t, status, h) },
+		BeforeWrite: func(now time.Time) error { return d.checkBeforeWrite(ctx, now, j, g.Server) },
+		OnHead:      func(status int, h http.Header) { d.observeHead(j, t, status, h) },
 	}
 	start := time.Now()
 	resp, err := d.connPool(g.Server.Address).Send(ctx, d.buildRequest(ctx, j, g.Server), opts)
@@ -245,6 +249,11 @@
 		d.classifyResponse(j, t, took)
 		return
 	}
+	if e, withheld := t.withheld(); withheld {
+		t.refusal = e.reason()
+		t.report = pool.Declined{Reason: t.refusal}
+		return
+	}
 	timedOut := t.lostHedge.Load() && took >= t.grant.Timeout
 	if timedOut || (t.err.Stage == backend.NotSent && ctx.Err() == nil) {
 		d.avoided.Add(time.Now(), t.grant.Server.Name)
@@ -259,7 +268,7 @@
 		t.report = pool.Unreached{Detail: t.err.Error()}
 	case t.err.Stage == backend.NoResponse && d.refusesConnections(ctx, t.grant.Server):
 		t.report = pool.Unreached{Crashed: true}
-	case t.err.Stage == backend.NoResponse && t.err.Reused:
+	case t.err.Stage == backend.NoResponse && t.err.Reused && !t.err.Received:
 		// The server most likely closed the reused connection because it was
 		// idle, just as the request was sent.
 		t.report = pool.Dropped{}
@@ -275,6 +284,9 @@
 		if l, _ := d.cfg.Contract.Limit(resp.Header); l.Named && t.refusal == pool.Shed {
 			t.refusal = pool.Limited // An invalid limit has been logged when the head came.
 		}
+		if pause, _ := d.cfg.Contract.Pause(resp.Status, resp.Header); pause > 0 {
+			t.refusal = pool.Paused
+		}
 		t.report = pool.Declined{Reason: t.refusal}
 		t.response = nil
 		if resp.BodyRemainder != nil {
@@ -304,6 +316,9 @@
 // a response.
 func (t *attempt) failure() *outcome.Failure {
 	n := t.grant.Server.Name
+	if e, withheld := t.withheld(); withheld {
+		return withheldFailure(e)
+	}
 	switch {
 	case t.refusal != "":
 		return outcome.New(outcome.Overload, "server %s refused the request: %s", n, t.refusal)
--- a/pkg/dispatch/run_test.go
+++ b/pkg/dispatch/run_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"laburnumpick.org/pkg/backend"
+	"laburnumpick.org/pkg/notice"
 	"laburnumpick.org/pkg/outcome"
 	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/registry"
@@ -58,6 +59,50 @@
 	assert.Equal(t, r.res.Server, site.ServerName("erring"))
 }
 
+// TestWithheldRequests guards against a request that is written although its server has told
+// this VM that it leaves or wants none, or although its deadline has passed while the process
+// was paused.
+func TestWithheldRequests(t *testing.T) {
+	now := time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+	d := &Dispatcher{cfg: Config{Notices: notice.NewMemory(), Registry: registry.NewReplica()}}
+	j := &Job{Match: site.Match{Service: "s"}}
+	ctx, cancel := context.WithDeadline(context.Background(), now.Add(time.Second))
+	defer cancel()
+	free, leaving, pausing := site.Server{Name: "a", StartedMs: 1}, site.Server{Name: "b", StartedMs: 1}, site.Server{Name: "c", StartedMs: 1}
+	d.cfg.Notices.Record(now, "s", leaving, true, 0)
+	d.cfg.Notices.Record(now, "s", pausing, false, 300*time.Millisecond)
+	check := func(now time.Time, s site.Server) error { return d.checkBeforeWrite(ctx, now, j, s) }
+	assert.NilError(t, check(now, free))
+	assert.ErrorIs(t, check(now.Add(time.Second), free), context.DeadlineExceeded)
+
+	left := &attempt{err: withheldAttempt(t, check(now, leaving))}
+	assert.Assert(t, left.notRun())
+	assert.Equal(t, left.failure().Kind, outcome.NoServer)
+	paused := &attempt{err: withheldAttempt(t, check(now, pausing))}
+	assert.Equal(t, paused.failure().Kind, outcome.ServerPauses)
+	assert.Equal(t, paused.failure().Outcome(), outcome.NotRun)
+	assert.Equal(t, paused.failure().RetryDelay(), 300*time.Millisecond)
+	assert.Equal(t, d.declineGrant(now, "s", leaving), pool.AnnouncedLeaving)
+	assert.Equal(t, d.declineGrant(now, "s", pausing), pool.Paused)
+	assert.NilError(t, check(now.Add(400*time.Millisecond), pausing))
+}
+
+// withheldAttempt returns the error of an attempt whose request was not written because of
+// the given error.
+func withheldAttempt(t *testing.T, cause error) *backend.Error {
+	t.Helper()
+	assert.Assert(t, cause != nil)
+	conns := backend.NewConnPool("server:80", func(context.Context, string) (net.Conn, error) {
+		near, _ := net.Pipe()
+		return near, nil
+	})
+	r := &backend.Request{Method: http.MethodGet, URL: &url.URL{Path: "/packs"}, Host: "packshelf", Header: http.Header{}, ID: "1"}
+	_, err := conns.Send(context.Background(), r, backend.Options{BeforeWrite: func(time.Time) error { return cause }})
+	e, ok := errors.AsType[*backend.Error](err)
+	assert.Assert(t, ok)
+	return e
+}
+
 // TestOlderListDoesNotRejectARestartedServer guards against a VM that has not heard yet
 // that a server has restarted and takes the home's newer knowledge for outdated.
 func TestOlderListDoesNotRejectARestartedServer(t *testing.T) {
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -9,6 +9,7 @@
 	"laburnumpick.org/pkg/dispatch"
 	"laburnumpick.org/pkg/fleetapi"
 	"laburnumpick.org/pkg/home"
+	"laburnumpick.org/pkg/notice"
 	"laburnumpick.org/pkg/outcome"
 	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/record"
@@ -150,8 +151,12 @@
 func (n *Node) acquireOnce(ctx context.Context, vm roster.VM, req *home.SlotRequest) (pool.Decision, error) {
 	sentAt := time.Now()
 	req = n.limits.forRequest(sentAt, vm.Name, req)
+	untold := n.cfg.Notices.Untold(sentAt, req.Service, vm.Name)
+	req.Notices = untold.Notices
 	if vm.Name == n.cfg.Self.Name {
-		return n.cfg.Home.Acquire(ctx, req).Decision, nil
+		r := n.cfg.Home.Acquire(ctx, req)
+		n.cfg.Notices.MarkTold(req.Service, notice.HomeID{VM: vm.Name, Since: r.Limits.Version.Since}, untold)
+		return r.Decision, nil
 	}
 	limit := acquireTimeout
 	if req.Ticket != 0 {
@@ -168,6 +173,7 @@
 		return nil, errors.New("the reply of the pool's home contains no decision")
 	}
 	n.limits.handleReply(time.Now(), sentAt, vm.Name, req, r.Limits)
+	n.cfg.Notices.MarkTold(req.Service, notice.HomeID{VM: vm.Name, Since: r.Limits.Version.Since}, untold)
 	return r.Decision, nil
 }
 
--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -27,6 +27,7 @@
 	"laburnumpick.org/pkg/fleetapi"
 	"laburnumpick.org/pkg/home"
 	"laburnumpick.org/pkg/journal"
+	"laburnumpick.org/pkg/notice"
 	"laburnumpick.org/pkg/record"
 	"laburnumpick.org/pkg/registry"
 	"laburnumpick.org/pkg/roster"
@@ -43,6 +44,7 @@
 	Source  catalog.Source
 	Replica *catalog.Replica
 	Home    *home.Home
+	Notices *notice.Memory
 	Journal *journal.Journal
 	HTTP    *http.Client // Used for calls to other VMs.
 	Dial    backend.Dialer
@@ -72,6 +74,7 @@
 // Node is one VM's membership in the fleet.
 type Node struct {
 	cfg       Config
+	startedAt time.Time
 	loop      *control.Loop
 	view      atomic.Pointer[roster.View]
 	isolated  atomic.Bool    // Whether the roster considers this VM isolated.
@@ -87,6 +90,7 @@
 	clients      map[string]fleetapi.Fleet
 	limits       *knownLimits
 	unresponsive *control.TTLSet[roster.VMName] // VMs that recently did not answer as homes.
+	lostRelays   *control.TTLSet[roster.VMName] // VMs that recently did not answer as relays.
 
 	unknownSince map[string]time.Time // When a listed VM was first dead or missing in the roster; owned by the goroutine that reads the list.
 
@@ -99,6 +103,7 @@
 func NewNode(now time.Time, cfg Config) *Node {
 	n := &Node{
 		cfg:          cfg,
+		startedAt:    now,
 		behind:       make(chan roster.VM, 1),
 		gossipNow:    make(chan struct{}, 1),
 		roster:       roster.New(now, cfg.Self, cfg.Rand),
@@ -107,6 +112,7 @@
 		clients:      make(map[string]fleetapi.Fleet),
 		limits:       newKnownLimits(cfg.Self.Name),
 		unresponsive: control.NewTTLSet[roster.VMName](unresponsivePenalty),
+		lostRelays:   control.NewTTLSet[roster.VMName](unresponsivePenalty),
 		sending:      make(map[roster.VMName]bool),
 		unknownSince: make(map[string]time.Time),
 	}
--- a/pkg/fleetapi/conversions.go
+++ b/pkg/fleetapi/conversions.go
@@ -142,7 +142,7 @@
 		view := &ServerView{
 			Name: string(s.Server.Name), Address: s.Server.Address, State: string(s.State), Reason: s.Reason,
 			SinceUnixMs: s.Since.UnixMilli(), Slots: int32(s.Server.Slots), Open: int32(s.OpenSlots),
-			InUse: int32(s.InUse), Score: s.Score, FailRate: s.FailRate, Strikes: int32(s.Strikes), Limit: limit,
+			InUse: int32(s.InUse), Score: s.Score, FailRate: s.FailRate, Strikes: int32(s.Strikes), Limit: limit, PausedVms: int32(s.PausedVMs),
 		}
 		if limit != nil {
 			view.LimitVm, view.LimitUnixMs, view.LimitGrants = s.LimitNamedTo, s.LimitNamedAt.UnixMilli(), int32(s.LimitedGrants)
--- a/pkg/fleetapi/grants.go
+++ b/pkg/fleetapi/grants.go
@@ -20,6 +20,7 @@
 		Fingerprint: string(a.Fingerprint), Sends: int32(a.Attempts), Attempts: int32(a.MaxAttempts), Ticket: int64(a.Ticket),
 		AtOnce: a.NoWait, Known: a.AlreadyCounted, Key: string(a.Key), Vm: a.VM,
 		Limits: fromNamedLimits(a.Limits), LimitVersion: fromLimitVersion(a.LimitVersion),
+		Notices: FromNotices(a.Notices),
 	}
 	for _, n := range a.Exclude {
 		req.Exclude = append(req.Exclude, string(n))
@@ -39,6 +40,7 @@
 		MaxAttempts: int(m.GetAttempts()), Ticket: pool.Ticket(m.GetTicket()),
 		NoWait: m.GetAtOnce(), AlreadyCounted: m.GetKnown(), Key: pool.IdempotencyKey(m.GetKey()), VM: m.GetVm(),
 		Limits: toNamedLimits(m.GetLimits()), LimitVersion: toLimitVersion(m.GetLimitVersion()),
+		Notices: ToNotices(m.GetNotices()),
 	}
 	if m.GetRepeatable() {
 		a.Class = site.Repeatable
@@ -192,7 +194,7 @@
 
 // FromStandbyState converts what a home tells its standby.
 func FromStandbyState(n site.ServiceName, state pool.StandbyState) *ShareRequest {
-	req := &ShareRequest{Service: string(n), Limits: fromNamedLimits(state.Limits)}
+	req := &ShareRequest{Service: string(n), Limits: fromNamedLimits(state.Limits), Notices: FromNotices(state.Leaving)}
 	for _, s := range state.FailureStreaks {
 		req.Spells = append(req.Spells, &Spell{
 			Server: string(s.Server), Failures: int32(s.Failures), RestMs: s.BackOff.Milliseconds(), AgeMs: s.Age.Milliseconds(),
@@ -203,7 +205,7 @@
 
 // ToStandbyState converts what a home tells its standby.
 func ToStandbyState(m *ShareRequest) pool.StandbyState {
-	out := pool.StandbyState{Limits: toNamedLimits(m.GetLimits())}
+	out := pool.StandbyState{Limits: toNamedLimits(m.GetLimits()), Leaving: ToNotices(m.GetNotices())}
 	for _, s := range m.GetSpells() {
 		out.FailureStreaks = append(out.FailureStreaks, pool.FailureStreak{
 			Server: site.ServerName(s.GetServer()), Failures: int(s.GetFailures()),
--- a/pkg/home/grant.go
+++ b/pkg/home/grant.go
@@ -46,6 +46,7 @@
 	Key            pool.IdempotencyKey // Idempotency key that is still to be claimed; empty if there is none.
 	Limits         []pool.NamedLimit   // Limits of the service's servers that the requesting VM knows.
 	LimitVersion   pool.LimitVersion   // Of the limits that the home sent last to the requesting VM.
+	Notices        []pool.Notice       // What servers have told the VM, if the home has not been told yet.
 }
 
 // poolRequest converts the request to the pool's form, with absolute deadlines.
@@ -93,6 +94,7 @@
 		p := h.pool(at, pool.ID(req.Service))
 		p.lastRequested = at
 		h.mergeLimits(at, p, req.Limits)
+		h.mergeNotices(at, p, req.VM, req.Notices)
 		if v := p.LimitVersion(); v != limits.Version {
 			*limits = p.LimitList(at)
 		}
--- a/pkg/home/home.go
+++ b/pkg/home/home.go
@@ -79,6 +79,7 @@
 	lastUsed           time.Time
 	lastRequested      time.Time // When a slot was last requested.
 	lastShared         time.Time // When the standby was last told.
+	shareDue           bool      // The standby must be told at once.
 	standby            string    // The VM that was last told.
 	waiting            map[pool.Ticket]*waiter
 	recordRequested    bool // A read of the record of servers that are out was started.
--- a/pkg/home/share.go
+++ b/pkg/home/share.go
@@ -16,13 +16,14 @@
 	shareWindow = 5 * time.Second
 )
 
-// shareWithStandby sends the pool's changed failure streaks and its limits to its
-// standby, so that the standby need not rediscover failing servers by failed requests,
-// nor limits by requests beyond them, if it takes over. A new standby gets all streaks.
+// shareWithStandby sends the pool's changed failure streaks, its limits and its leaving
+// servers to its standby, so that the standby need not rediscover failing servers by failed
+// requests, nor limits by requests beyond them, if it takes over. A new standby gets all streaks.
 func (h *Home) shareWithStandby(now time.Time, p *ownedPool) {
-	if now.Sub(p.lastRequested) > shareWindow || now.Sub(p.lastShared) < shareInterval {
+	if now.Sub(p.lastRequested) > shareWindow || (!p.shareDue && now.Sub(p.lastShared) < shareInterval) {
 		return
 	}
+	p.shareDue = false
 	n := site.ServiceName(p.ID())
 	after, to := p.lastShared, h.cfg.Standby(n)
 	if to != p.standby {
@@ -41,5 +42,6 @@
 		p := h.pool(now, pool.ID(n))
 		p.MergeFailureStreaks(now, s.FailureStreaks)
 		h.mergeLimits(now, p, s.Limits)
+		h.mergeNotices(now, p, "", s.Leaving)
 	})
 }
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -42,6 +42,7 @@
 	AccountLimit          Kind = "accountLimit"    // The client account exceeds its limits.
 	Overload              Kind = "overload"        // A limit of the VM, the pool or the server was reached.
 	ServerLimits          Kind = "serverLimits"    // The limits that the backend servers name allow no request in time.
+	ServerPauses          Kind = "serverPauses"    // All backend servers that could be used want no requests from the VM for a time.
 	NoServer              Kind = "noServer"        // No backend server could be used or reached.
 	StoreUnavailable      Kind = "storeAway"       // The key could not be claimed or looked up in the store.
 	EarlierAttemptUnknown Kind = "earlierUnsure"   // This attempt was not sent; an earlier one with its key may have run.
@@ -80,6 +81,7 @@
 	AccountLimit:          {NotRun, http.StatusTooManyRequests, time.Second, "slow down"},
 	Overload:              {NotRun, http.StatusServiceUnavailable, time.Second, "try again later"},
 	ServerLimits:          {NotRun, http.StatusServiceUnavailable, time.Second, "try again later"},
+	ServerPauses:          {NotRun, http.StatusServiceUnavailable, time.Second, "try again later"},
 	NoServer:              {NotRun, http.StatusServiceUnavailable, 2 * time.Second, "try again later"},
 	StoreUnavailable:      {NotRun, http.StatusServiceUnavailable, 5 * time.Second, "try again with the same key"},
 	EarlierAttemptUnknown: {Unknown, http.StatusServiceUnavailable, 5 * time.Second, "this attempt was not sent; try again with the same key to learn of earlier ones"},
--- a/pkg/pool/budget.go
+++ b/pkg/pool/budget.go
@@ -50,6 +50,11 @@
 // recordRequest counts a request.
 func (b *budget) recordRequest(now time.Time) { b.currentPart(now).total++ }
 
+// requestRate returns the number of requests per second in the window.
+func (b *budget) requestRate(now time.Time) float64 {
+	return float64(b.requests.sum(now, b.partLength()).total) / b.limits.Window.Seconds()
+}
+
 // recordRetry counts a retry: an attempt after a request's first.
 func (b *budget) recordRetry(now time.Time) { b.currentPart(now).marked++ }
 
--- a/pkg/pool/choose.go
+++ b/pkg/pool/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"laburnumpick.org/pkg/site"
@@ -16,10 +15,11 @@
 		now: now, dataCentre: r.DataCentre, probesRecovery: p.canProbeRecovery(now, r),
 		testsIdle: !r.Suspect, overloaded: p.overloaded(now),
 		avoidsUnknownOutcome: r.Class == site.AtMostOnce && p.hasUsableServer(now, r), atMostOnce: r.Class == site.AtMostOnce,
+		staysNear:         r.DataCentre != "" && p.budget.requestRate(now) >= minFarRate,
 		waitsForRecovered: r.Class == site.AtMostOnce && p.queue.len() < int(p.recoveredSlots(now, r)/2),
 	}
 	for _, v := range p.order {
-		if !v.hasFreeSlot(k, lastResort) || slices.Contains(r.Exclude, v.cfg.Name) || (r.Suspect && v.runsSuspect) {
+		if !v.hasFreeSlot(k, lastResort) || p.isBarred(now, r, v) || (r.Suspect && v.runsSuspect) {
 			continue
 		}
 		if best == nil || k.before(v, best) {
@@ -39,7 +39,7 @@
 func (p *Pool) recoveredSlots(now time.Time, r Request) float64 {
 	n := 0.0
 	for _, v := range p.order {
-		if v.trusted() && !v.inBackOff(now) && !v.recovering(now) && !slices.Contains(r.Exclude, v.cfg.Name) {
+		if v.trusted() && !v.inBackOff(now) && !v.recovering(now) && !p.isBarred(now, r, v) {
 			n += p.withinLimitOf(v, v.openSlots)
 		}
 	}
@@ -69,6 +69,9 @@
 	// leaves open whether the request has run.
 	avoidsUnknownOutcome bool
 	atMostOnce           bool // The request may run at most once.
+	// staysNear means that idle servers in other data centres can wait for a request of
+	// their own one.
+	staysNear bool
 	// waitsForRecovered means that the request may run at most once and that recovered
 	// servers will soon have a slot for it. Such a request is not used to test a
 	// recovering server.
@@ -78,7 +81,7 @@
 // tier returns the server's preference tier; lower is better.
 func (k ranking) tier(v *server) int {
 	switch {
-	case k.testsIdle && v.needsRequest(k.now, k.atMostOnce):
+	case k.testsIdle && v.needsRequest(k):
 		if v.idleReason(k.now) == IdleUnchosen {
 			return 0 // If requests are too few for all, those that serve come first.
 		}
@@ -130,7 +133,7 @@
 		return nil
 	}
 	for _, v := range p.order {
-		if v.probeDue(now) && !slices.Contains(r.Exclude, v.cfg.Name) {
+		if v.probeDue(now) && !p.isBarred(now, r, v) {
 			return v
 		}
 	}
--- a/pkg/pool/dispatch.go
+++ b/pkg/pool/dispatch.go
@@ -72,6 +72,9 @@
 		if turn, limited := p.untilTurn(now, w.request, ahead); limited {
 			wait = turn
 		}
+		if left, paused := p.untilPauseEnds(now, w.request); paused {
+			wait = max(wait, left)
+		}
 		if now.Add(wait).After(w.waitLimit) {
 			if v := p.choose(now, w.request, true); v != nil {
 				p.queue.serve(w)
--- a/pkg/pool/idle.go
+++ b/pkg/pool/idle.go
@@ -18,6 +18,12 @@
 	// maxIdleOverdue is the limit while a slow server runs a request, whose end would
 	// tell more.
 	maxIdleOverdue = 1800 * time.Millisecond
+	// maxIdleFar is added to the limits for requests from other data centres, if nothing is
+	// held against the server: traffic between data centres is expensive, and the server
+	// most likely gets a request of its own one. Only pools with at least minFarRate requests
+	// a second wait so long, since others may get none in the time that is left.
+	maxIdleFar = 350 * time.Millisecond
+	minFarRate = 40.0
 	// failureExclusion is how long after a failure the time without requests begins.
 	failureExclusion = 2400 * time.Millisecond
 	// slowExclusion is the same after very slow responses.
@@ -79,7 +85,8 @@
 
 // needsRequest reports whether the server has been without requests for so long that
 // it must get the next one, whatever is held against it.
-func (v *server) needsRequest(now time.Time, atMostOnce bool) bool {
+func (v *server) needsRequest(k ranking) bool {
+	now := k.now
 	if v.inUse >= v.openSlots || !v.withinLimit(now) || (!v.trusted() && v.state != Suspected) {
 		return false
 	}
@@ -87,9 +94,12 @@
 	switch {
 	case v.inUse > 0 && v.isSlow(now):
 		limit = maxIdleOverdue
-	case atMostOnce:
+	case k.atMostOnce:
 		limit = maxIdleAtMostOnce
 	}
+	if k.staysNear && v.cfg.DataCentre != k.dataCentre && v.idleReason(now) == IdleUnchosen {
+		limit += maxIdleFar
+	}
 	return now.Sub(v.grantedAt) > limit &&
 		now.Sub(v.failedAt) > failureExclusion+limit &&
 		now.Sub(v.verySlowAt) > slowExclusion+limit
--- a/pkg/pool/intent.go
+++ b/pkg/pool/intent.go
@@ -186,6 +186,8 @@
 	LimitNamedTo  string            `json:"limitNamedTo"`
 	LimitNamedAt  time.Time         `json:"limitNamedAt"`
 	LimitedGrants int               `json:"limitedGrants"`
+	// PausedVMs is the number of VMs from which the server wants no requests for a time.
+	PausedVMs int `json:"pausedVMs"`
 }
 
 // View is the state of a pool, for operators.
@@ -203,6 +205,7 @@
 			Server: v.cfg, State: v.state, Since: v.since, Reason: v.reason, InUse: v.inUse,
 			OpenSlots: v.openSlots, Score: v.score(), FailRate: v.failRate, Strikes: v.strikes,
 			Limit: v.limit, LimitNamedTo: v.namedTo, LimitNamedAt: v.namedAt, LimitedGrants: v.limitedGrants,
+			PausedVMs: p.pauses.vmsOf(v),
 		})
 	}
 	return out
--- a/pkg/pool/limit.go
+++ b/pkg/pool/limit.go
@@ -211,7 +211,7 @@
 func (p *Pool) untilTurn(now time.Time, r Request, ahead int) (time.Duration, bool) {
 	var usable []*server
 	for _, v := range p.order {
-		if !v.trusted() || v.inBackOff(now) || slices.Contains(r.Exclude, v.cfg.Name) {
+		if !v.trusted() || v.inBackOff(now) || p.isBarred(now, r, v) {
 			continue
 		}
 		if !v.limit.Named {
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -130,6 +130,7 @@
 	// lastRepeatable is when the last repeatable request came.
 	lastRepeatable time.Time
 	lastSweep      time.Time // When the queue was last swept for requests that cannot be served in time.
+	pauses         pauses
 	limitVersion   LimitVersion
 	limitShare     float64 // The part of the servers' limits that this home may use.
 	slowResponses  window  // All responses; the very slow ones are the marked ones.
@@ -155,6 +156,7 @@
 		queue:         newQueue(),
 		budget:        newBudget(now, set.Retry),
 		slowResponses: newWindow(slowWindowParts),
+		pauses:        newPauses(),
 		limitVersion:  LimitVersion{Since: now.UnixMicro()},
 		limitShare:    1,
 		grants:        make(map[GrantID]*outstanding),
@@ -198,7 +200,7 @@
 		p.order = append(p.order, v)
 		if m.Leaving {
 			events = append(events, p.markDeparting(now, v, "it registered as leaving")...)
-		} else if v.departing && !v.moved {
+		} else if v.departing && !v.moved && !v.announced {
 			events = append(events, p.cancelDeparture(now, v)...)
 		}
 	}
@@ -296,6 +298,10 @@
 	if turn, limited := p.untilTurn(now, r, 0); limited && turn > 0 {
 		out.Kind, out.Detail = outcome.ServerLimits, "the limits that the servers name allow no request in time"
 	}
+	if left, paused := p.untilPauseEnds(now, r); paused {
+		out.Kind, out.Detail = outcome.ServerPauses, "the servers want no requests from this VM for a time"
+		out.RetryAfter = max(out.RetryAfter, left)
+	}
 	return out
 }
 
@@ -315,7 +321,7 @@
 // take the request, once it has a free slot.
 func (p *Pool) hasUsableServer(now time.Time, r Request) bool {
 	return slices.ContainsFunc(p.order, func(v *server) bool {
-		return v.trusted() && !v.inBackOff(now) && !slices.Contains(r.Exclude, v.cfg.Name)
+		return v.trusted() && !v.inBackOff(now) && !p.isBarred(now, r, v)
 	})
 }
 
@@ -337,6 +343,9 @@
 	if turn, limited := p.untilTurn(now, r, p.queue.ahead(r)); limited {
 		wait = max(wait-p.waitBehind(0, slots), turn)
 	}
+	if left, paused := p.untilPauseEnds(now, r); paused {
+		wait = max(wait, left)
+	}
 	for _, v := range p.order {
 		if v.trusted() && v.pausedUntil.After(now) {
 			wait += v.pausedUntil.Sub(now) / time.Duration(len(p.order))
--- a/pkg/pool/report.go
+++ b/pkg/pool/report.go
@@ -59,6 +59,11 @@
 	Cold  DeclineReason = "cold"
 	// Limited means that the server has got more requests than the limit that it names.
 	Limited DeclineReason = "limited"
+	// Paused means that the server wants no requests from the VM for a time. The VM keeps to
+	// that, and tells the home (Notice).
+	Paused DeclineReason = "paused"
+	// AnnouncedLeaving means that the server has told the VM that it leaves.
+	AnnouncedLeaving DeclineReason = "leaving"
 	// Moved means that another server answered at the address.
 	Moved DeclineReason = "moved"
 	// Unlisted means that the VM's list of registered servers shows that the server has
@@ -116,7 +121,7 @@
 	case Failed, Unreached:
 		return true
 	case Declined:
-		return r.Reason != Unlisted && r.Reason != Limited
+		return r.Reason != Unlisted && r.Reason != Limited && r.Reason != Paused && r.Reason != AnnouncedLeaving
 	case Served, Dropped:
 	}
 	return false
@@ -277,6 +282,9 @@
 	case Limited:
 		v.pausedUntil = now.Add(shedPause)
 		v.dropTokens(now)
+	case Paused:
+		v.pausedUntil = now.Add(shedPause)
+	case AnnouncedLeaving: // The VM tells the home of it with its next request.
 	case Unlisted:
 		v.pausedUntil = now.Add(unlistedPause)
 	case Moved:
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -56,6 +56,7 @@
 	coldUntil   time.Time // Until when it is slow after its start.
 	departing   bool      // It registered as leaving, or another server has its address.
 	moved       bool      // Another server has its address.
+	announced   bool      // It has said in a response that it leaves.
 	backOff               // After a failure.
 	slowness              // After a slow response.
 	pace                  // While the server names a limit on requests.
@@ -83,15 +84,15 @@
 func (v *server) trusted() bool { return v.state == Healthy || v.state == Warming }
 
 // hasFreeSlot reports whether the server has a free slot for a request that is not a
-// probe. The limit that the server names goes before all else. With lastResort, suspected servers and servers in back-off are included.
-// Servers that need a request always are; while the pool is overloaded, so are servers
+// probe. The limit that the server names goes before all else. With lastResort, suspected
+// servers and servers in back-off are included. Servers that need a request always are; while the pool is overloaded, so are servers
 // in back-off, for one request each.
 func (v *server) hasFreeSlot(k ranking, lastResort bool) bool {
 	now := k.now
 	if !v.withinLimit(now) {
 		return false
 	}
-	if k.testsIdle && v.needsRequest(now, k.atMostOnce) {
+	if k.testsIdle && v.needsRequest(k) {
 		return true
 	}
 	if !v.trusted() && (!lastResort || v.state != Suspected) {
--- a/pkg/pool/tick.go
+++ b/pkg/pool/tick.go
@@ -14,6 +14,7 @@
 			events = append(events, p.Release(now, o.grant, Dropped{})...)
 		}
 	}
+	p.pauses.expire(now)
 	p.markOverdue(now)
 	wait := probeOverdue
 	if now.Sub(p.lastRepeatable) > repeatableMemory {
--- a/pkg/trial/fleet.go
+++ b/pkg/trial/fleet.go
@@ -14,6 +14,7 @@
 	"laburnumpick.org/pkg/catalog"
 	"laburnumpick.org/pkg/daemon"
 	"laburnumpick.org/pkg/fleetapi"
+	"laburnumpick.org/pkg/registry"
 	"laburnumpick.org/pkg/settings"
 	"laburnumpick.org/pkg/site"
 	"laburnumpick.org/pkg/standin"
@@ -39,6 +40,7 @@
 	NoDelay      bool                     // The network has no delay.
 	StoreDelay   time.Duration            // Duration of each call to the store.
 	Standalone   bool                     // VMs do not coordinate; the baseline of comparisons.
+	Registered   bool                     // The servers register themselves.
 	Downtime     time.Duration            // How long a server stays down after a crash.
 	EditSettings func(*settings.Settings) // Edits the settings of each VM; may be nil.
 }
@@ -67,6 +69,8 @@
 	// after it has succeeded or failed, as if the machine were paused.
 	PauseAfterWrite func(vm string, k store.Key) time.Duration
 
+	registrations *registrations
+
 	allVMs    []*VM // Includes VMs that were killed or stopped.
 	opts      Options
 	locations map[string]site.DataCentre // Data centre by host.
@@ -80,13 +84,18 @@
 	f := &Fleet{
 		Plan: p, Store: store.NewMemory(), Servers: make(map[site.ServerName]*standin.Server),
 		opts: o, locations: make(map[string]site.DataCentre), ctx: ctx,
+		registrations: &registrations{entries: make(map[site.ServerName]registry.Entry)},
 	}
 	f.Net = standin.NewNetwork(f.linkDelay)
 	f.Store.SetDelay(o.StoreDelay)
 	if err := f.startServers(); err != nil {
 		return nil, err
 	}
+	f.registerServers()
 	objects := p.Objects(func(n site.ServerName) string { return f.Servers[n].Address() })
+	if o.Registered {
+		leaveOutServers(objects)
+	}
 	if err := f.Configure(objects...); err != nil {
 		return nil, err
 	}
@@ -98,6 +107,15 @@
 	return f, nil
 }
 
+// leaveOutServers changes services to those whose servers register themselves.
+func leaveOutServers(objects []site.Object) {
+	for _, o := range objects {
+		if svc, ok := o.(*site.Service); ok {
+			svc.Registered, svc.Servers, svc.Floor, svc.FloorShare = true, nil, 0, standin.FloorShare
+		}
+	}
+}
+
 // linkDelay returns the one-way delay of a link.
 func (f *Fleet) linkDelay(l standin.Link) time.Duration {
 	if f.opts.NoDelay {
@@ -195,7 +213,7 @@
 		},
 		Standalone: f.opts.Standalone,
 	}
-	d, err := daemon.New(&set, nw, daemon.Platform{Store: &storeLink{Store: f.Store, fleet: f, host: name}})
+	d, err := daemon.New(&set, nw, f.platform(name))
 	if err != nil {
 		return nil, err
 	}
@@ -216,6 +234,15 @@
 	return vm, nil
 }
 
+// platform returns a VM's interface to the platform.
+func (f *Fleet) platform(host string) daemon.Platform {
+	p := daemon.Platform{Store: &storeLink{Store: f.Store, fleet: f, host: host}}
+	if f.opts.Registered {
+		p.Servers = registrationsLink{f.registrations, f, host}
+	}
+	return p
+}
+
 // Stop stops a VM gracefully and waits until it has ended.
 func (vm *VM) Stop() {
 	vm.Daemon.Stop()
