fleet: first copies from other VMs, two relays in each data centre

The reader sends its state to all 291 others, 243 of them in other data centres. Now: a VM that starts waits 0.4 s to meet others and gets its copies from them; only ranked readers read; the list of VMs is read within 0.3 s by name, unless another VM was heard from before. The reader sends to its own data centre and to two relays in each other one. Copies between VMs are compressed.

--- a/pkg/fleet/server.go
+++ b/pkg/fleet/server.go
@@ -71,7 +71,7 @@
 		if err != nil {
 			return nil, twirp.InternalErrorWith(err)
 		}
-		if reply.Snapshot, err = json.Marshal(s); err != nil {
+		if reply.Snapshot, err = packSnapshot(s); err != nil {
 			return nil, twirp.InternalErrorWith(err)
 		}
 		return reply, nil
--- a/pkg/fleet/sync.go
+++ b/pkg/fleet/sync.go
@@ -68,11 +68,11 @@
 func (n *Node) applyChanges(reply *fleetapi.ChangesAnswer) error {
 	now := time.Now()
 	if len(reply.GetSnapshot()) > 0 {
-		var s catalog.Snapshot
-		if err := json.Unmarshal(reply.GetSnapshot(), &s); err != nil {
+		s, err := unpackSnapshot(reply.GetSnapshot())
+		if err != nil {
 			return err
 		}
-		_, err := n.cfg.Replica.Load(now, &s)
+		_, err = n.cfg.Replica.Load(now, s)
 		return err
 	}
 	changes := make([]catalog.Change, len(reply.GetChanges()))
@@ -96,7 +96,7 @@
 			registered = n.register(ctx)
 		}
 		gap := n.cfg.ListInterval
-		alone := len(n.View().VMs()) <= 1
+		alone := n.isAlone(ctx)
 		if alone {
 			gap = min(gap, aloneListInterval)
 		}
@@ -109,6 +109,15 @@
 	}
 }
 
+// isAlone reports whether this VM knows no other. A VM that has just started gives those that
+// know it some time to say so, which spreads the reads when all start at once.
+func (n *Node) isAlone(ctx context.Context) bool {
+	if wait := n.jitter() - time.Since(n.startedAt); wait > 0 && len(n.View().VMs()) <= 1 {
+		_ = control.Sleep(ctx, wait) // The caller notices the end of ctx.
+	}
+	return len(n.View().VMs()) <= 1
+}
+
 // aloneListInterval is the longest time between two reads of the list on a VM
 // that knows no other.
 const aloneListInterval = time.Second
--- a/pkg/fleet/tables.go
+++ b/pkg/fleet/tables.go
@@ -1,15 +1,13 @@
 package fleet
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
-	"io"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"k8s.io/klog/v2"
 
 	"laburnumpick.org/pkg/catalog"
@@ -26,19 +24,19 @@
 // change is therefore in force on all VMs within about takeOverAfter plus one
 // rankDelay for each failed rank, even if the reader has just been lost.
 const (
-	readInterval     = 400 * time.Millisecond
-	checkInterval    = 150 * time.Millisecond // Between two checks whether a read is due.
-	readTimeout      = 700 * time.Millisecond // Bounds one read of all tables.
-	takeOverAfter    = 900 * time.Millisecond // Age of the state beyond which other VMs read the tables too.
-	rankDelay        = 120 * time.Millisecond // Added to takeOverAfter for each rank.
-	readerRanks      = 4                      // VMs that send what they read to all others.
-	maxJitter        = 300 * time.Millisecond // Spreads the reads of the VMs without a rank.
-	minBackOff       = 100 * time.Millisecond // After a failed read; doubled each time.
-	maxBackOff       = time.Second
-	sendTimeout      = 500 * time.Millisecond
-	changesWindow    = 3 * time.Second // Each message repeats the registry's changes of this period.
-	roleReader       = "reader"
-	maxSnapshotBytes = 64 << 20 // Of a decompressed configuration from another VM.
+	readInterval  = 400 * time.Millisecond
+	checkInterval = 150 * time.Millisecond // Between two checks whether a read is due.
+	readTimeout   = 700 * time.Millisecond // Bounds one read of all tables.
+	takeOverAfter = 900 * time.Millisecond // Age of the state beyond which other VMs read the tables too.
+	rankDelay     = 120 * time.Millisecond // Added to takeOverAfter for each rank.
+	readerRanks   = 4                      // VMs that send what they read to all others.
+	maxJitter     = 300 * time.Millisecond // Spreads the reads of the VMs without a rank.
+	meetTime      = 400 * time.Millisecond // For which a VM that has just started waits to meet others before it reads.
+	minBackOff    = 100 * time.Millisecond // After a failed read; doubled each time.
+	maxBackOff    = time.Second
+	sendTimeout   = 500 * time.Millisecond
+	changesWindow = 3 * time.Second // Each message repeats the registry's changes of this period.
+	roleReader    = "reader"
 )
 
 // syncState tracks how current this VM's copy of the platform's tables is.
@@ -104,17 +102,23 @@
 	if now.Before(s.retryAt) {
 		return false
 	}
-	if s.currentAt.IsZero() || n.cfg.Replica.State().Version == 0 {
-		return true
+	// A VM that starts gets its first copy from one that has it, so that the VMs do not all
+	// read at once when all start.
+	since := s.currentAt
+	if since.IsZero() {
+		since = n.startedAt
 	}
+	age := now.Sub(since)
 	r, ranked := n.readerRank()
 	switch {
+	case s.currentAt.IsZero() && len(n.View().VMs()) <= 1:
+		return age > meetTime
 	case ranked && r == 0:
 		return true
 	case ranked:
-		return now.Sub(s.currentAt) > takeOverAfter+time.Duration(r)*rankDelay
+		return age > takeOverAfter+time.Duration(r)*rankDelay
 	default:
-		return now.Sub(s.currentAt) > takeOverAfter+readerRanks*rankDelay+n.jitter()
+		return age > takeOverAfter+readerRanks*rankDelay+n.jitter()
 	}
 }
 
@@ -211,10 +215,8 @@
 	if fresh {
 		req.Snapshot = n.snapshot()
 	}
-	for _, vm := range n.View().VMs() {
-		if vm.Name != n.cfg.Self.Name && n.beginSend(vm.Name) {
-			go n.sendState(ctx, vm, req)
-		}
+	for _, r := range n.stateReceivers(asOf) {
+		n.startSend(ctx, r, req)
 	}
 }
 
@@ -236,17 +238,12 @@
 		klog.ErrorS(err, "fleet: cannot encode the configuration for other VMs")
 		return nil
 	}
-	var buf bytes.Buffer
-	z := gzip.NewWriter(&buf)
-	if err := json.NewEncoder(z).Encode(s); err != nil {
-		klog.ErrorS(err, "fleet: cannot encode the configuration for other VMs")
-		return nil
-	}
-	if err := z.Close(); err != nil {
+	packed, err := packSnapshot(s)
+	if err != nil {
 		klog.ErrorS(err, "fleet: cannot encode the configuration for other VMs")
 		return nil
 	}
-	return buf.Bytes()
+	return packed
 }
 
 // beginSend marks a Level call to a VM as in flight. It returns false if there
@@ -261,8 +258,8 @@
 	return true
 }
 
-// sendState sends one Level call to a VM.
-func (n *Node) sendState(ctx context.Context, vm roster.VM, req *fleetapi.LevelRequest) {
+// sendState sends one Level call to a VM and reports whether it was answered.
+func (n *Node) sendState(ctx context.Context, vm roster.VM, req *fleetapi.LevelRequest) bool {
 	defer func() {
 		n.syncMu.Lock()
 		delete(n.sending, vm.Name)
@@ -273,9 +270,10 @@
 	reply, err := n.client(vm.Address).Level(ctx, req)
 	if err != nil {
 		n.cfg.Scope.Counter("levelsLost").Inc(1)
-		return // A VM that receives nothing reads the tables itself.
+		return false // A VM that receives nothing reads the tables itself.
 	}
 	n.fetchIfBehind(vm, catalog.Version(reply.GetCatalogVersion()), registry.Revision(reply.GetRegistryRevision()))
+	return true
 }
 
 // fetchIfBehind schedules a fetch from another VM if that VM has a newer
@@ -309,6 +307,9 @@
 	n.syncMu.Lock()
 	n.syncState.currentAt = now
 	n.syncMu.Unlock()
+	if req.GetPassOn() {
+		go n.passOnState(now, vm.Name, req)
+	}
 	return &fleetapi.LevelAnswer{
 		CatalogVersion:   int64(n.cfg.Replica.State().Version),
 		RegistryRevision: int64(n.cfg.Registry.State().Revision),
@@ -321,15 +322,11 @@
 	if len(raw) == 0 {
 		return nil
 	}
-	z, err := gzip.NewReader(bytes.NewReader(raw))
+	s, err := unpackSnapshot(raw)
 	if err != nil {
 		return err
 	}
-	var s catalog.Snapshot
-	if err := json.NewDecoder(io.LimitReader(z, maxSnapshotBytes)).Decode(&s); err != nil {
-		return err
-	}
-	loaded, err := n.cfg.Replica.Load(now, &s)
+	loaded, err := n.cfg.Replica.Load(now, s)
 	if loaded {
 		n.reportConfigInForce(s.Version, from)
 	}
@@ -339,7 +336,11 @@
 // Servers implements fleetapi.Fleet.
 func (s server) Servers(_ context.Context, req *fleetapi.ServersRequest) (*fleetapi.ServersAnswer, error) {
 	u := s.node.cfg.Registry.Since(time.Now(), registry.Revision(req.GetSince()))
-	return &fleetapi.ServersAnswer{Servers: fleetapi.FromRegistry(u)}, nil
+	packed, err := packServers(fleetapi.FromRegistry(u))
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &fleetapi.ServersAnswer{PackedServers: packed}, nil
 }
 
 // fetchServers updates the registry from another VM.
@@ -351,7 +352,11 @@
 	if err != nil {
 		return err
 	}
-	n.cfg.Registry.Apply(time.Now(), fleetapi.ToRegistry(reply.GetServers()))
+	servers, err := unpackServers(reply.GetPackedServers())
+	if err != nil {
+		return err
+	}
+	n.cfg.Registry.Apply(time.Now(), fleetapi.ToRegistry(servers))
 	return nil
 }
 
--- a/pkg/roster/view.go
+++ b/pkg/roster/view.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+
+	"laburnumpick.org/pkg/site"
 )
 
 // View is an immutable list of the VMs that are eligible for roles. All VMs with
@@ -23,6 +25,8 @@
 type role struct {
 	name     string
 	minCores float64 // VMs with fewer cores are ranked after all others.
+	// dataCentre limits the role to the VMs of a data centre; empty for all VMs.
+	dataCentre site.DataCentre
 }
 
 // maxRanked is how many VMs are kept for each role: the holder and its standbys.
@@ -42,7 +46,16 @@
 
 // Homes returns up to maxRanked candidates for a pool's home, the first choice
 // first. VMs with fewer cores than given come after all others.
-func (v *View) Homes(pool string, cores float64) []VM { return v.rank(role{"pool/" + pool, cores}) }
+func (v *View) Homes(pool string, cores float64) []VM {
+	return v.rank(role{name: "pool/" + pool, minCores: cores})
+}
+
+// InDataCentre returns the first n candidates, at most maxRanked, for a role in a data
+// centre.
+func (v *View) InDataCentre(name string, dc site.DataCentre, n int) []VM {
+	top := v.rank(role{name: "role/" + name, dataCentre: dc})
+	return top[:min(n, len(top))]
+}
 
 // HasRole reports whether a VM is among the first n candidates for a site-wide
 // role. Only the first maxRanked candidates are considered.
@@ -91,6 +104,9 @@
 func rendezvous(r role, vms []VM) []VM {
 	top := make([]candidate, 0, maxRanked+1)
 	for i := range vms {
+		if r.dataCentre != "" && vms[i].DataCentre != r.dataCentre {
+			continue
+		}
 		w := candidate{vm: vms[i], score: scoreOf(r.name, &vms[i])}
 		if vms[i].cores() < r.minCores {
 			w.undersized = 1
