fleetapi: numbers of messages are bounded

Cause: a message between VMs with a limit that is no number (NaN) took a server out of use for good, since the home's token bucket never filled again; durations in milliseconds could overflow, or put a back-off years ahead. Ruled out: an end of the process.

--- a/pkg/fleetapi/grants.go
+++ b/pkg/fleetapi/grants.go
@@ -34,8 +34,8 @@
 		RequestID: m.GetRequestId(), Service: site.ServiceName(m.GetService()),
 		DataCentre: site.DataCentre(m.GetDataCentre()), Account: site.AccountName(m.GetAccount()),
 		Class: site.AtMostOnce, Rule: site.RuleName(m.GetRule()), Priority: int(m.GetPriority()),
-		Left:        time.Duration(m.GetLeftMs()) * time.Millisecond,
-		TargetLeft:  time.Duration(m.GetTargetLeftMs()) * time.Millisecond,
+		Left:        fromMilliseconds(m.GetLeftMs()),
+		TargetLeft:  fromMilliseconds(m.GetTargetLeftMs()),
 		Fingerprint: quarantine.Fingerprint(m.GetFingerprint()), Attempts: int(m.GetSends()),
 		MaxAttempts: int(m.GetAttempts()), Ticket: pool.Ticket(m.GetTicket()),
 		NoWait: m.GetAtOnce(), AlreadyCounted: m.GetKnown(), Key: pool.IdempotencyKey(m.GetKey()), VM: m.GetVm(),
@@ -94,7 +94,7 @@
 	case *AcquireAnswer_Grant:
 		return pool.Granted{
 			ID: pool.GrantID(d.Grant.GetId()), Server: toServer(d.Grant.GetServer()),
-			Timeout: time.Duration(d.Grant.GetPatienceMs()) * time.Millisecond,
+			Timeout: fromMilliseconds(d.Grant.GetPatienceMs()),
 			Probe:   d.Grant.GetTrial(), Suspect: d.Grant.GetSuspect(), MayRetry: d.Grant.GetMore(),
 			Limit: toRequestLimit(d.Grant.GetLimit()),
 		}, true
@@ -103,7 +103,7 @@
 	case *AcquireAnswer_Refusal:
 		return pool.Refused{
 			Kind: outcome.Kind(d.Refusal.GetKind()), Detail: d.Refusal.GetDetail(),
-			RetryAfter: time.Duration(d.Refusal.GetRetryAfterMs()) * time.Millisecond,
+			RetryAfter: fromMilliseconds(d.Refusal.GetRetryAfterMs()),
 		}, true
 	}
 	return nil, false
@@ -209,7 +209,7 @@
 	for _, s := range m.GetSpells() {
 		out.FailureStreaks = append(out.FailureStreaks, pool.FailureStreak{
 			Server: site.ServerName(s.GetServer()), Failures: int(s.GetFailures()),
-			BackOff: time.Duration(s.GetRestMs()) * time.Millisecond, Age: time.Duration(s.GetAgeMs()) * time.Millisecond,
+			BackOff: fromMilliseconds(s.GetRestMs()), Age: fromMilliseconds(s.GetAgeMs()),
 		})
 	}
 	return out
@@ -237,7 +237,7 @@
 	for _, e := range m.GetEntries() {
 		u.Entries = append(u.Entries, registry.Entry{
 			Service: site.ServiceName(e.GetService()), Server: toServer(e.GetServer()),
-			Draining: e.GetDraining(), ColdFor: time.Duration(e.GetColdMs()) * time.Millisecond, Seq: e.GetSeq(),
+			Draining: e.GetDraining(), ColdFor: fromMilliseconds(e.GetColdMs()), Seq: e.GetSeq(),
 		})
 	}
 	for _, n := range m.GetGone() {
--- a/pkg/fleetapi/limits.go
+++ b/pkg/fleetapi/limits.go
@@ -1,7 +1,7 @@
 package fleetapi
 
 import (
-	"time"
+	"math"
 
 	"laburnumpick.org/pkg/home"
 	"laburnumpick.org/pkg/pool"
@@ -17,9 +17,10 @@
 	return &RequestLimit{PerSecond: float64(l.Rate)}
 }
 
-// toRequestLimit converts a server's limit on requests; nil means that there is none.
+// toRequestLimit converts a server's limit on requests; nil means that there is none, and so
+// does a rate that is no finite number of at least zero.
 func toRequestLimit(m *RequestLimit) site.RequestLimit {
-	if m == nil {
+	if m == nil || !(m.GetPerSecond() >= 0) || math.IsInf(m.GetPerSecond(), 0) {
 		return site.RequestLimit{}
 	}
 	return site.LimitOf(site.RequestRate(m.GetPerSecond()))
@@ -36,7 +37,7 @@
 func toNamedLimit(m *NamedLimit) pool.NamedLimit {
 	return pool.NamedLimit{
 		Server: site.ServerName(m.GetServer()), StartedMs: m.GetStartedMs(), Limit: toRequestLimit(m.GetLimit()),
-		Age: time.Duration(m.GetAgeMs()) * time.Millisecond, VM: m.GetVm(),
+		Age: max(0, fromMilliseconds(m.GetAgeMs())), VM: m.GetVm(),
 	}
 }
 
--- a/pkg/fleetapi/notices.go
+++ b/pkg/fleetapi/notices.go
@@ -1,15 +1,10 @@
 package fleetapi
 
 import (
-	"time"
-
 	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/site"
 )
 
-// maxPauseMs bounds the pause in a message, so that a malformed one cannot overflow.
-const maxPauseMs = int64(24 * time.Hour / time.Millisecond)
-
 // FromNotices converts what servers have told a VM.
 func FromNotices(notices []pool.Notice) []*ServerNotice {
 	var out []*ServerNotice
@@ -25,16 +20,10 @@
 func ToNotices(ms []*ServerNotice) []pool.Notice {
 	var out []pool.Notice
 	for _, m := range ms {
-		pause := min(max(0, m.GetPauseMs()), maxPauseMs)
 		out = append(out, pool.Notice{
 			Server: site.ServerName(m.GetServer()), StartedMs: m.GetStartedMs(), Leaving: m.GetLeaving(),
-			Pause: time.Duration(pause) * time.Millisecond,
+			Pause: max(0, fromMilliseconds(m.GetPauseMs())),
 		})
 	}
 	return out
 }
-
-// ceilMilliseconds returns a duration in milliseconds, rounded up.
-func ceilMilliseconds(d time.Duration) int64 {
-	return (d + time.Millisecond - 1).Milliseconds()
-}
--- a/pkg/trial/fleet.go
+++ b/pkg/trial/fleet.go
@@ -321,6 +321,13 @@
 	return fleetapi.NewOperatorClient(vm.Daemon.Addresses().Operators, token, &http.Client{Transport: f.CallerTransport()})
 }
 
+// FleetHeader returns the headers of calls between VMs.
+func (f *Fleet) FleetHeader() http.Header {
+	h := make(http.Header)
+	h.Set(fleetapi.HeaderToken, fleetToken)
+	return h
+}
+
 // CallerTransport returns a transport for callers and operators. It opens a new
 // connection for each request.
 func (f *Fleet) CallerTransport() http.RoundTripper {
