fleet: one VM in sixteen reads at once at its start

All waited for somebody else to read. Now: 1 in 16 reads at once, the others wait 0.12 s instead of 0.4 s to meet others; the list of VMs is read within 0.1 s instead of 0.3 s.

--- a/pkg/fleet/sync.go
+++ b/pkg/fleet/sync.go
@@ -112,12 +112,16 @@
 // isAlone reports whether this VM knows no other. A VM that has just started gives those that
 // know it some time to say so, which spreads the reads when all start at once.
 func (n *Node) isAlone(ctx context.Context) bool {
-	if wait := n.jitter() - time.Since(n.startedAt); wait > 0 && len(n.View().VMs()) <= 1 {
+	if wait := n.jitter()/listJitterShare - time.Since(n.startedAt); wait > 0 && len(n.View().VMs()) <= 1 {
 		_ = control.Sleep(ctx, wait) // The caller notices the end of ctx.
 	}
 	return len(n.View().VMs()) <= 1
 }
 
+// listJitterShare divides the jitter of reads of the tables for that of the list, which delays
+// a start.
+const listJitterShare = 3
+
 // aloneListInterval is the longest time between two reads of the list on a VM
 // that knows no other.
 const aloneListInterval = time.Second
--- a/pkg/fleet/tables.go
+++ b/pkg/fleet/tables.go
@@ -31,7 +31,8 @@
 	rankDelay     = 120 * time.Millisecond // Added to takeOverAfter for each rank.
 	readerRanks   = 4                      // VMs that send what they read to all others.
 	maxJitter     = 300 * time.Millisecond // Spreads the reads of the VMs without a rank.
-	meetTime      = 400 * time.Millisecond // For which a VM that has just started waits to meet others before it reads.
+	meetTime      = 120 * time.Millisecond // For which a VM that has just started waits to meet others before it reads.
+	earlyReaders  = 16                     // One VM in so many reads as soon as it starts.
 	minBackOff    = 100 * time.Millisecond // After a failed read; doubled each time.
 	maxBackOff    = time.Second
 	sendTimeout   = 500 * time.Millisecond
@@ -102,8 +103,8 @@
 	if now.Before(s.retryAt) {
 		return false
 	}
-	// A VM that starts gets its first copy from one that has it, so that the VMs do not all
-	// read at once when all start.
+	// A VM that starts gets its first copy from one that has it, so that not all VMs read at
+	// once when all start.
 	since := s.currentAt
 	if since.IsZero() {
 		since = n.startedAt
@@ -112,7 +113,7 @@
 	r, ranked := n.readerRank()
 	switch {
 	case s.currentAt.IsZero() && len(n.View().VMs()) <= 1:
-		return age > meetTime
+		return n.nameHash()%earlyReaders == 0 || age > meetTime
 	case ranked && r == 0:
 		return true
 	case ranked:
@@ -125,9 +126,14 @@
 // jitter returns a fixed delay for this VM, so that VMs without a rank do not
 // all read at once.
 func (n *Node) jitter() time.Duration {
+	return maxJitter * time.Duration(n.nameHash()%1000) / 1000
+}
+
+// nameHash returns a hash of this VM's name.
+func (n *Node) nameHash() uint32 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(n.cfg.Self.Name)) // Never fails.
-	return maxJitter * time.Duration(h.Sum32()%1000) / 1000
+	return h.Sum32()
 }
 
 // syncTables reads the tables and, if this VM has a reader rank, sends the state
