registry: a replica that starts from the full list knows no earlier removals

Cause: a VM that starts from the full list at revision R passed on its changes to VMs at an earlier revision without the removals between the two, which it has never seen: a server that had left stayed in use there for good. Ruled out: older messages that overtake newer ones through the relays (revisions are compared). Now: after a full list, changes are passed on only from its revision on, else the full list. TestRemovalBeforeAFullListIsPassedOn failed first.

--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -162,6 +162,10 @@
 	for _, n := range r.removedServers(u, listed) {
 		changed = r.removeOrMarkMissing(now, n, u.Revision, afterOutage) || changed
 	}
+	if u.Full {
+		// What was removed before is not known, apart from the servers that were held here.
+		r.compactedUpTo = max(r.compactedUpTo, u.Revision)
+	}
 	r.publish(u.Revision, changed)
 	return true
 }
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -149,3 +149,18 @@
 	assert.DeepEqual(t, names(from), []string{"a"})
 	assert.DeepEqual(t, names(to), []string{"a"})
 }
+
+// TestRemovalBeforeAFullListIsPassedOn guards against a server that left and is used again
+// after a restart: a VM that has just started has the full list and has never heard of that
+// server, so the changes that it passes on must not lack the removal.
+func TestRemovalBeforeAFullListIsPassedOn(t *testing.T) {
+	behind := registry.NewReplica()
+	behind.Apply(start, fullList(138, newEntry("a", 1), newEntry("b", 1)))
+	restarted := registry.NewReplica()
+	restarted.Apply(start, fullList(140, newEntry("b", 1)))
+	assert.Assert(t, behind.Apply(start, restarted.Since(start, behind.State().Revision)))
+	assert.DeepEqual(t, names(behind), []string{"b"})
+	assert.Equal(t, behind.State().Revision, registry.Revision(140))
+	restarted.Apply(start, registry.Update{Since: 140, Revision: 141, Entries: []registry.Entry{newEntry("c", 1)}})
+	assert.Assert(t, !restarted.Since(start, 140).Full, "what came after the full list is known")
+}
