notice, dispatch: a home that grants what it was told of is told again

Cause, found by reading: a VM took a home for told when the call was answered, but a home whose list is older than the server's start ignores the notice, and a reply can come without the request having reached the pool's loop. The VM then declined each such grant for itself, at the price of another round trip each, and the home went on granting. Now: declining a grant because of a notice makes the VM tell all notices of the service again (TestEachHomeIsToldOnce). A refusal for the server's limit keeps that reason, also with a Retry-After.

--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -93,6 +93,9 @@
 	if reason := d.declineGrant(time.Now(), j.Match.Service, s.Grant().Server); reason != "" {
 		d.cfg.Scope.Tagged(map[string]string{"reason": string(reason)}).Counter("declinedGrants").Inc(1)
 		d.releaseSlot(j, s, pool.Declined{Reason: reason})
+		if reason != pool.Unlisted {
+			d.cfg.Notices.TellAgain(j.Match.Service) // The home does not know it, or had another list of servers.
+		}
 		return d.requestOtherSlot(ctx, j, res, noWait, s.Grant().Server.Name)
 	}
 	return s, nil
@@ -284,7 +287,7 @@
 		if l, _ := d.cfg.Contract.Limit(resp.Header); l.Named && t.refusal == pool.Shed {
 			t.refusal = pool.Limited // An invalid limit has been logged when the head came.
 		}
-		if pause, _ := d.cfg.Contract.Pause(resp.Status, resp.Header); pause > 0 {
+		if pause, _ := d.cfg.Contract.Pause(resp.Status, resp.Header); pause > 0 && t.refusal == pool.Shed {
 			t.refusal = pool.Paused
 		}
 		t.report = pool.Declined{Reason: t.refusal}
--- a/pkg/notice/notice.go
+++ b/pkg/notice/notice.go
@@ -102,7 +102,7 @@
 }
 
 // Record keeps what a response of a server says. A pause does not cut an earlier one short.
-// It reports whether the server had not told the same before.
+// It reports whether the homes have to be told of it.
 func (m *Memory) Record(now time.Time, n site.ServiceName, srv site.Server, leaving bool, pause time.Duration) bool {
 	if !leaving && pause <= 0 {
 		return false
@@ -244,3 +244,12 @@
 		s.told = max(s.told, b.last)
 	}
 }
+
+// TellAgain makes the home of a service's pool be told all notices again.
+func (m *Memory) TellAgain(n site.ServiceName) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s, ok := m.services[n]; ok {
+		s.told = 0
+	}
+}
--- a/pkg/notice/notice_test.go
+++ b/pkg/notice/notice_test.go
@@ -79,6 +79,8 @@
 	tell(restarted, 3)
 	tell(restarted, 0)
 	tell(notice.HomeID{VM: "vm-2", Since: 1}, 3)
+	m.TellAgain(svc)
+	tell(notice.HomeID{VM: "vm-2", Since: 1}, 3)
 	b := m.Untold(start, svc, "vm-1") // A call whose reply is lost.
 	assert.Equal(t, len(b.Notices), 3)
 	tell(first, 3)
