--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	@out=$$($(GOFUMPT) -l $(MODULES)); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
 
 lint: $(GOLANGCI)
-	@for m in $(MODULES); do echo "lint $$m"; (cd $$m && GOLANGCI_LINT_CACHE=$(LINT_CACHE) $(GOLANGCI) run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+	@for m in $(MODULES); do echo "lint $$m"; (cd $$m && GOLANGCI_LINT_CACHE=$(LINT_CACHE) $(GOLANGCI) run --allow-parallel-runners --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 
 vet:
 	@for m in $(MODULES); do (cd $$m && go vet ./...) || exit 1; done
