fleet, pool, backend, roster: one piece of code where the change had several

Read the change since as a newcomer; behaviour is the same, no test's assertion changes. - fleet: releases, limits, notices and shares made the same call with the same timeout four times (Node.report); a home's reply was taken for itself and for another VM in two places (sendSlotRequest), and notices marked as told in four (two are left). - fleet: isAlone waited, though its name asks only; the wait is awaitOthers, and the three places that counted the view's VMs ask isAlone. - pool: 'trusted and not in back-off' stood in five places (server.usable), the look-up of a server by name and start time in three (serverSince). - dispatch: why a server refused is decided in one function (refusalReason). - backend: default names of headers by cmp.Or; roster: GossipPeers by concatenation. Checked: go test of pkg/fleet, roster, backend, pool, dispatch, notice, trial; lint.

--- a/pkg/backend/contract.go
+++ b/pkg/backend/contract.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"cmp"
 	"net/http"
 
 	"laburnumpick.org/pkg/site"
@@ -58,11 +59,7 @@
 // Limit returns the limit on requests that the server of a response names. See
 // site.ParseRequestLimit for the error.
 func (c Contract) Limit(h http.Header) (site.RequestLimit, error) {
-	name := c.HeaderLimit
-	if name == "" {
-		name = HeaderRequestLimit
-	}
-	return site.ParseRequestLimit(h.Values(name))
+	return site.ParseRequestLimit(h.Values(cmp.Or(c.HeaderLimit, HeaderRequestLimit)))
 }
 
 // check returns an error if a response cannot come from the server itself.
--- a/pkg/backend/notice.go
+++ b/pkg/backend/notice.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -25,10 +26,7 @@
 // Leaving reports whether the head of a response says that its server leaves. The error
 // describes values that say nothing.
 func (c Contract) Leaving(h http.Header) (bool, error) {
-	name := c.HeaderLeaving
-	if name == "" {
-		name = HeaderServerLeaving
-	}
+	name := cmp.Or(c.HeaderLeaving, HeaderServerLeaving)
 	leaves := false
 	var errs []error
 	for _, text := range h.Values(name) {
--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -283,13 +283,7 @@
 func (d *Dispatcher) classifyResponse(j *Job, t *attempt, took time.Duration) {
 	resp := t.response
 	if reason, refused := d.cfg.Contract.Refusal(resp); refused {
-		t.refusal = pool.DeclineReason(reason)
-		if l, _ := d.cfg.Contract.Limit(resp.Header); l.Named && t.refusal == pool.Shed {
-			t.refusal = pool.Limited // An invalid limit has been logged when the head came.
-		}
-		if pause, _ := d.cfg.Contract.Pause(resp.Status, resp.Header); pause > 0 && t.refusal == pool.Shed {
-			t.refusal = pool.Paused
-		}
+		t.refusal = d.refusalReason(pool.DeclineReason(reason), resp)
 		t.report = pool.Declined{Reason: t.refusal}
 		t.response = nil
 		if resp.BodyRemainder != nil {
@@ -306,6 +300,22 @@
 	t.report = pool.Served{Rule: j.Match.Rule, Took: took}
 }
 
+// refusalReason returns why a server refused a request: because of the limit that it names,
+// because it wants no requests from this VM for a time, or else for the given reason. Invalid
+// headers have been logged when the head came.
+func (d *Dispatcher) refusalReason(r pool.DeclineReason, resp *backend.Response) pool.DeclineReason {
+	if r != pool.Shed {
+		return r
+	}
+	if l, _ := d.cfg.Contract.Limit(resp.Header); l.Named {
+		return pool.Limited
+	}
+	if pause, _ := d.cfg.Contract.Pause(resp.Status, resp.Header); pause > 0 {
+		return pool.Paused
+	}
+	return r
+}
+
 // refusesConnections reports whether a server that closed a connection without a
 // response refuses new connections too, which means that it has crashed.
 func (d *Dispatcher) refusesConnections(ctx context.Context, s site.Server) bool {
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -25,9 +25,9 @@
 	acquireTimeout = 250 * time.Millisecond
 	// waitTimeout bounds a call that polls a queued request.
 	waitTimeout         = 500 * time.Millisecond
-	releaseTimeout      = 250 * time.Millisecond
-	unresponsivePenalty = 2 * time.Second // How long a home that did not answer is skipped.
-	maxCandidates       = 3               // VMs that are tried as a pool's home, not counting this VM as the last resort.
+	reportTimeout       = 250 * time.Millisecond // Of a call that no request waits for, such as a release.
+	unresponsivePenalty = 2 * time.Second        // How long a home that did not answer is skipped.
+	maxCandidates       = 3                      // VMs that are tried as a pool's home, not counting this VM as the last resort.
 )
 
 // coresPerSlot is the CPU, in cores, that a pool's home needs for each slot of
@@ -153,10 +153,21 @@
 	req = n.limits.forRequest(sentAt, vm.Name, req)
 	untold := n.cfg.Notices.Untold(sentAt, req.Service, vm.Name)
 	req.Notices = untold.Notices
+	r, err := n.sendSlotRequest(ctx, vm, req)
+	if err != nil {
+		return nil, err
+	}
+	if vm.Name != n.cfg.Self.Name {
+		n.limits.handleReply(time.Now(), sentAt, vm.Name, req, r.Limits)
+	}
+	n.cfg.Notices.MarkTold(req.Service, notice.HomeID{VM: vm.Name, Since: r.Limits.Version.Since}, untold)
+	return r.Decision, nil
+}
+
+// sendSlotRequest sends a request for a slot to a home, which may be this VM.
+func (n *Node) sendSlotRequest(ctx context.Context, vm roster.VM, req *home.SlotRequest) (home.Reply, error) {
 	if vm.Name == n.cfg.Self.Name {
-		r := n.cfg.Home.Acquire(ctx, req)
-		n.cfg.Notices.MarkTold(req.Service, notice.HomeID{VM: vm.Name, Since: r.Limits.Version.Since}, untold)
-		return r.Decision, nil
+		return n.cfg.Home.Acquire(ctx, req), nil
 	}
 	limit := acquireTimeout
 	if req.Ticket != 0 {
@@ -166,15 +177,13 @@
 	defer cancel()
 	reply, err := n.client(vm.Address).Acquire(ctx, fleetapi.FromSlotRequest(req))
 	if err != nil {
-		return nil, err
+		return home.Reply{}, err
 	}
 	r, ok := fleetapi.ToReply(reply)
 	if !ok {
-		return nil, errors.New("the reply of the pool's home contains no decision")
+		return home.Reply{}, errors.New("the reply of the pool's home contains no decision")
 	}
-	n.limits.handleReply(time.Now(), sentAt, vm.Name, req, r.Limits)
-	n.cfg.Notices.MarkTold(req.Service, notice.HomeID{VM: vm.Name, Since: r.Limits.Version.Since}, untold)
-	return r.Decision, nil
+	return r, nil
 }
 
 // abandonTicket informs a home that a queued request is no longer waited for.
@@ -186,12 +195,22 @@
 	go n.sendRelease(vm, fleetapi.FromCanceledWait(svc, t))
 }
 
+// report makes a call to another VM that no request waits for, and that does not end with
+// the request that caused it.
+func (n *Node) report(vm roster.VM, call func(ctx context.Context, c fleetapi.Fleet) error) error {
+	ctx, cancel := context.WithTimeout(n.withToken(context.Background()), reportTimeout)
+	defer cancel()
+	return call(ctx, n.client(vm.Address))
+}
+
 // sendRelease sends a release to a home. A release that is lost needs no retry:
 // the home frees the slot when the grant expires.
 func (n *Node) sendRelease(vm roster.VM, req *fleetapi.ReleaseRequest) {
-	ctx, cancel := context.WithTimeout(n.withToken(context.Background()), releaseTimeout)
-	defer cancel()
-	if _, err := n.client(vm.Address).Release(ctx, req); err != nil {
+	err := n.report(vm, func(ctx context.Context, c fleetapi.Fleet) error {
+		_, err := c.Release(ctx, req)
+		return err
+	})
+	if err != nil {
 		n.cfg.Scope.Counter("releasesLost").Inc(1)
 	}
 }
@@ -233,9 +252,11 @@
 }
 
 func (n *Node) sendLimit(vm roster.VM, req *fleetapi.ReportLimitRequest) {
-	ctx, cancel := context.WithTimeout(n.withToken(context.Background()), releaseTimeout)
-	defer cancel()
-	if _, err := n.client(vm.Address).ReportLimit(ctx, req); err != nil {
+	err := n.report(vm, func(ctx context.Context, c fleetapi.Fleet) error {
+		_, err := c.ReportLimit(ctx, req)
+		return err
+	})
+	if err != nil {
 		n.cfg.Scope.Counter("limitReportsLost").Inc(1)
 		record.Log("fleet: limit not reported to the home", "vm", vm.Name, "server", req.GetNamed().GetServer(), "err", err)
 	}
--- a/pkg/fleet/notices.go
+++ b/pkg/fleet/notices.go
@@ -17,27 +17,30 @@
 	go s.node.sendNotices(s.home, n)
 }
 
+// sendNotices tells a home, which may be this VM, what it has not been told.
 func (n *Node) sendNotices(vm roster.VM, svc site.ServiceName) {
 	untold := n.cfg.Notices.Untold(time.Now(), svc, vm.Name)
 	if len(untold.Notices) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(n.withToken(context.Background()), releaseTimeout)
-	defer cancel()
-	if vm.Name == n.cfg.Self.Name {
-		since := n.cfg.Home.ReportNotices(ctx, svc, string(n.cfg.Self.Name), untold.Notices)
-		n.cfg.Notices.MarkTold(svc, notice.HomeID{VM: vm.Name, Since: since}, untold)
-		return
-	}
-	reply, err := n.client(vm.Address).ReportNotices(ctx, &fleetapi.ReportNoticesRequest{
-		Service: string(svc), Vm: string(n.cfg.Self.Name), Notices: fleetapi.FromNotices(untold.Notices),
+	h := notice.HomeID{VM: vm.Name}
+	err := n.report(vm, func(ctx context.Context, c fleetapi.Fleet) error {
+		if vm.Name == n.cfg.Self.Name {
+			h.Since = n.cfg.Home.ReportNotices(ctx, svc, string(vm.Name), untold.Notices)
+			return nil
+		}
+		reply, err := c.ReportNotices(ctx, &fleetapi.ReportNoticesRequest{
+			Service: string(svc), Vm: string(n.cfg.Self.Name), Notices: fleetapi.FromNotices(untold.Notices),
+		})
+		h.Since = reply.GetSinceUnixUs()
+		return err
 	})
 	if err != nil {
 		n.cfg.Scope.Counter("noticesLost").Inc(1)
 		record.Log("fleet: what servers say not reported to the home", "vm", vm.Name, "service", svc, "err", err)
 		return
 	}
-	n.cfg.Notices.MarkTold(svc, notice.HomeID{VM: vm.Name, Since: reply.GetSinceUnixUs()}, untold)
+	n.cfg.Notices.MarkTold(svc, h, untold)
 }
 
 // ReportNotices implements fleetapi.Fleet.
--- a/pkg/fleet/share.go
+++ b/pkg/fleet/share.go
@@ -39,9 +39,11 @@
 }
 
 func (n *Node) sendShare(vm roster.VM, req *fleetapi.ShareRequest) {
-	ctx, cancel := context.WithTimeout(n.withToken(context.Background()), releaseTimeout)
-	defer cancel()
-	if _, err := n.client(vm.Address).Share(ctx, req); err != nil {
+	err := n.report(vm, func(ctx context.Context, c fleetapi.Fleet) error {
+		_, err := c.Share(ctx, req)
+		return err
+	})
+	if err != nil {
 		n.cfg.Scope.Counter("sharesLost").Inc(1)
 		n.unresponsive.Add(time.Now(), vm.Name)
 		record.Log("fleet: state not sent to the standby", "vm", vm.Name, "service", req.GetService(), "err", err)
--- a/pkg/fleet/sync.go
+++ b/pkg/fleet/sync.go
@@ -95,8 +95,9 @@
 		if !registered {
 			registered = n.register(ctx)
 		}
+		n.awaitOthers(ctx)
 		gap := n.cfg.ListInterval
-		alone := n.isAlone(ctx)
+		alone := n.isAlone()
 		if alone {
 			gap = min(gap, aloneListInterval)
 		}
@@ -109,13 +110,15 @@
 	}
 }
 
-// isAlone reports whether this VM knows no other. A VM that has just started gives those that
-// know it some time to say so, which spreads the reads when all start at once.
-func (n *Node) isAlone(ctx context.Context) bool {
-	if wait := n.jitter()/listJitterShare - time.Since(n.startedAt); wait > 0 && len(n.View().VMs()) <= 1 {
+// isAlone reports whether this VM knows no other.
+func (n *Node) isAlone() bool { return len(n.View().VMs()) <= 1 }
+
+// awaitOthers gives the VMs that know this one, if it has just started and knows none, some
+// time to say so. That spreads the reads of the list when all start at once.
+func (n *Node) awaitOthers(ctx context.Context) {
+	if wait := n.jitter()/listJitterShare - time.Since(n.startedAt); wait > 0 && n.isAlone() {
 		_ = control.Sleep(ctx, wait) // The caller notices the end of ctx.
 	}
-	return len(n.View().VMs()) <= 1
 }
 
 // listJitterShare divides the jitter of reads of the tables for that of the list, which delays
--- a/pkg/fleet/tables.go
+++ b/pkg/fleet/tables.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
-
 	"k8s.io/klog/v2"
 
 	"laburnumpick.org/pkg/catalog"
@@ -112,7 +111,7 @@
 	age := now.Sub(since)
 	r, ranked := n.readerRank()
 	switch {
-	case s.currentAt.IsZero() && len(n.View().VMs()) <= 1:
+	case s.currentAt.IsZero() && n.isAlone():
 		return n.nameHash()%earlyReaders == 0 || age > meetTime
 	case ranked && r == 0:
 		return true
--- a/pkg/pool/choose.go
+++ b/pkg/pool/choose.go
@@ -39,7 +39,7 @@
 func (p *Pool) recoveredSlots(now time.Time, r Request) float64 {
 	n := 0.0
 	for _, v := range p.order {
-		if v.trusted() && !v.inBackOff(now) && !v.recovering(now) && !p.isBarred(now, r, v) {
+		if v.usable(now) && !v.recovering(now) && !p.isBarred(now, r, v) {
 			n += p.withinLimitOf(v, v.openSlots)
 		}
 	}
--- a/pkg/pool/limit.go
+++ b/pkg/pool/limit.go
@@ -118,8 +118,8 @@
 // RecordLimit applies what the response to a grant of this home says about the server's
 // limit. It reports false if nothing changes.
 func (p *Pool) RecordLimit(now time.Time, g GrantID, n NamedLimit) (LimitChange, bool) {
-	v, ok := p.servers[n.Server]
-	if !ok || v.cfg.StartedMs != n.StartedMs {
+	v, ok := p.serverSince(n.Server, n.StartedMs)
+	if !ok {
 		return LimitChange{}, false
 	}
 	if n.Limit == v.limit {
@@ -167,8 +167,8 @@
 func (p *Pool) MergeLimits(now time.Time, limits []NamedLimit) []LimitChange {
 	var out []LimitChange
 	for _, n := range limits {
-		v, ok := p.servers[n.Server]
-		if !ok || v.cfg.StartedMs != n.StartedMs || !n.Limit.IsLowerThan(v.limit) {
+		v, ok := p.serverSince(n.Server, n.StartedMs)
+		if !ok || !n.Limit.IsLowerThan(v.limit) {
 			continue
 		}
 		if now.Add(-n.Age).After(v.namedAt) {
@@ -211,7 +211,7 @@
 func (p *Pool) untilTurn(now time.Time, r Request, ahead int) (time.Duration, bool) {
 	var usable []*server
 	for _, v := range p.order {
-		if !v.trusted() || v.inBackOff(now) || p.isBarred(now, r, v) {
+		if !v.usable(now) || p.isBarred(now, r, v) {
 			continue
 		}
 		if !v.limit.Named {
--- a/pkg/pool/notice.go
+++ b/pkg/pool/notice.go
@@ -80,8 +80,8 @@
 func (p *Pool) MergeNotices(now time.Time, vm string, notices []Notice) []Event {
 	var events []Event
 	for _, n := range notices {
-		v, ok := p.servers[n.Server]
-		if !ok || v.cfg.StartedMs != n.StartedMs {
+		v, ok := p.serverSince(n.Server, n.StartedMs)
+		if !ok {
 			continue
 		}
 		if n.Leaving {
@@ -132,7 +132,7 @@
 	}
 	first, found := time.Duration(0), false
 	for _, v := range p.order {
-		if !v.trusted() || v.inBackOff(now) || slices.Contains(r.Exclude, v.cfg.Name) {
+		if !v.usable(now) || slices.Contains(r.Exclude, v.cfg.Name) {
 			continue
 		}
 		left := p.pauses.left(now, r.VM, v)
--- a/pkg/pool/notice_test.go
+++ b/pkg/pool/notice_test.go
@@ -37,7 +37,8 @@
 	admit(t, p, start.Add(2*time.Second), r)
 }
 
-// TestLaterShorterPauseDoesNotCutTheFirstShort guards against that.
+// TestLaterShorterPauseDoesNotCutTheFirstShort guards against requests during a pause that a
+// later refusal with a shorter one seemed to end.
 func TestLaterShorterPauseDoesNotCutTheFirstShort(t *testing.T) {
 	p := newPool(1, 3)
 	pauseServer(p, start, 0, 3*time.Second)
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -209,6 +209,13 @@
 	return events
 }
 
+// serverSince returns a server that started at a time, in Unix milliseconds. It reports
+// false if the pool has none, or the server has started anew.
+func (p *Pool) serverSince(n site.ServerName, startedMs int64) (*server, bool) {
+	v, ok := p.servers[n]
+	return v, ok && v.cfg.StartedMs == startedMs
+}
+
 // Admit decides on a request that has just arrived.
 func (p *Pool) Admit(now time.Time, r Request) Decision {
 	if r.Class == site.Repeatable {
@@ -310,7 +317,7 @@
 func (p *Pool) usableSlots(now time.Time) float64 {
 	n := 0.0
 	for _, v := range p.order {
-		if v.trusted() && !v.inBackOff(now) {
+		if v.usable(now) {
 			n += p.withinLimitOf(v, v.capacity(now))
 		}
 	}
@@ -321,7 +328,7 @@
 // take the request, once it has a free slot.
 func (p *Pool) hasUsableServer(now time.Time, r Request) bool {
 	return slices.ContainsFunc(p.order, func(v *server) bool {
-		return v.trusted() && !v.inBackOff(now) && !p.isBarred(now, r, v)
+		return v.usable(now) && !p.isBarred(now, r, v)
 	})
 }
 
--- a/pkg/pool/server.go
+++ b/pkg/pool/server.go
@@ -83,10 +83,14 @@
 // trusted reports whether requests of all classes may go to the server.
 func (v *server) trusted() bool { return v.state == Healthy || v.state == Warming }
 
+// usable reports whether requests of all classes may go to the server now, as far as its
+// failures are concerned.
+func (v *server) usable(now time.Time) bool { return v.trusted() && !v.inBackOff(now) }
+
 // hasFreeSlot reports whether the server has a free slot for a request that is not a
 // probe. The limit that the server names goes before all else. With lastResort, suspected
-// servers and servers in back-off are included. Servers that need a request always are; while the pool is overloaded, so are servers
-// in back-off, for one request each.
+// servers and servers in back-off are included. Servers that need a request always are;
+// while the pool is overloaded, so are servers in back-off, for one request each.
 func (v *server) hasFreeSlot(k ranking, lastResort bool) bool {
 	now := k.now
 	if !v.withinLimit(now) {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -241,10 +241,9 @@
 			far = append(far, vm)
 		}
 	}
-	out := append([]VM(nil), far[:min(1, n, len(far))]...)
-	out = append(out, near[:min(n-len(out), len(near))]...)
-	rest := far[min(1, n, len(far)):]
-	return append(out, rest[:min(n-len(out), len(rest))]...)
+	first := min(1, len(far))
+	out := slices.Concat(far[:first], near, far[first:])
+	return out[:min(n, len(out))]
 }
 
 // HandleHeartbeat processes a heartbeat, or the reply to one, with the updates
