fleetapi: the time that a request took is bounded like other durations

Found by reading the change again; TestDurationsOfMessagesAreBounded failed first. Ruled out: a grant's own age as the bound, which is a change of decisions; left for the issue.

--- a/pkg/fleetapi/durations.go
+++ b/pkg/fleetapi/durations.go
@@ -2,13 +2,20 @@
 
 import "time"
 
-// maxMilliseconds bounds the durations in messages, so that a malformed one cannot overflow
-// or take effect for good.
-const maxMilliseconds = int64(24 * time.Hour / time.Millisecond)
+// maxDuration bounds the durations in messages, so that a malformed one cannot overflow or
+// take effect for good.
+const maxDuration = 24 * time.Hour
 
 // fromMilliseconds converts a duration of a message.
-func fromMilliseconds(n int64) time.Duration {
-	return time.Duration(min(max(n, -maxMilliseconds), maxMilliseconds)) * time.Millisecond
+func fromMilliseconds(n int64) time.Duration { return boundedDuration(n, time.Millisecond) }
+
+// fromMicroseconds converts a duration of a message.
+func fromMicroseconds(n int64) time.Duration { return boundedDuration(n, time.Microsecond) }
+
+// boundedDuration returns n units, at most maxDuration in either direction.
+func boundedDuration(n int64, unit time.Duration) time.Duration {
+	most := int64(maxDuration / unit)
+	return time.Duration(min(max(n, -most), most)) * unit
 }
 
 // ceilMilliseconds returns a duration in milliseconds, rounded up.
--- a/pkg/fleetapi/grants.go
+++ b/pkg/fleetapi/grants.go
@@ -1,8 +1,6 @@
 package fleetapi
 
 import (
-	"time"
-
 	"laburnumpick.org/pkg/home"
 	"laburnumpick.org/pkg/outcome"
 	"laburnumpick.org/pkg/pool"
@@ -176,7 +174,7 @@
 		Service: site.ServiceName(m.GetService()), Grant: pool.GrantID(m.GetGrant()),
 		Fingerprint: quarantine.Fingerprint(m.GetFingerprint()), Request: m.GetRequest(), Report: pool.Dropped{},
 	}
-	rule, took := site.RuleName(m.GetRule()), time.Duration(m.GetTookUs())*time.Microsecond
+	rule, took := site.RuleName(m.GetRule()), fromMicroseconds(m.GetTookUs())
 	switch m.GetReport() {
 	case reportServed:
 		e.Report = pool.Served{Rule: rule, Took: took}
