home, dispatch, backend: who reported a server, and new connections by result

Added: vm= in 'home: server in back-off after a failure', a line 'home: a report changed a server's state' with vm and end, and the counter dispatch_connects by result (connected, refused, reset, timedOut, canceled, failed). No decision changes. Ruled out: a line for each connection, which would double the log of a cut VM. Checked: go test of backend, home, dispatch, pool, telemetry.

--- /dev/null
+++ b/pkg/backend/connect.go
@@ -0,0 +1,39 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"os"
+	"syscall"
+)
+
+// ConnectResult is how the attempt to open a connection ended.
+type ConnectResult string
+
+// Results of opening a connection.
+const (
+	Connected         ConnectResult = "connected"
+	ConnectionRefused ConnectResult = "refused"
+	ConnectionReset   ConnectResult = "reset"
+	ConnectTimedOut   ConnectResult = "timedOut"
+	ConnectCanceled   ConnectResult = "canceled" // Nobody waited for the connection any more.
+	ConnectFailed     ConnectResult = "failed"   // For another reason, such as a missing route.
+)
+
+// ConnectResultOf returns the result that an error of a Dialer stands for.
+func ConnectResultOf(err error) ConnectResult {
+	switch {
+	case err == nil:
+		return Connected
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return ConnectionRefused
+	case errors.Is(err, syscall.ECONNRESET):
+		return ConnectionReset
+	case errors.Is(err, context.Canceled):
+		return ConnectCanceled
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, syscall.ETIMEDOUT):
+		return ConnectTimedOut
+	default:
+		return ConnectFailed
+	}
+}
--- a/pkg/backend/connpool.go
+++ b/pkg/backend/connpool.go
@@ -67,10 +67,10 @@
 	return p.dial(ctx, p.address)
 }
 
-// get returns a usable idle connection, or a new one. If forceNew is set, it always
-// opens a new one.
-func (p *ConnPool) get(ctx context.Context, now time.Time, forceNew bool) (*conn, error) {
-	for !forceNew {
+// get returns a usable idle connection, or a new one. If the options ask for a new one, it
+// always opens one.
+func (p *ConnPool) get(ctx context.Context, now time.Time, o *Options) (*conn, error) {
+	for !o.NewConn {
 		c := p.pop()
 		if c == nil {
 			break
@@ -82,6 +82,9 @@
 		c.close()
 	}
 	nc, err := p.open(ctx)
+	if o.OnConnect != nil {
+		o.OnConnect(ConnectResultOf(err))
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/backend/send.go
+++ b/pkg/backend/send.go
@@ -60,6 +60,8 @@
 	// BeforeWrite is called when the connection is open, right before the first byte of the
 	// request is written. If it returns an error, nothing is written. It may be nil.
 	BeforeWrite func(now time.Time) error
+	// OnConnect is called with the result of opening a new connection. It may be nil.
+	OnConnect func(ConnectResult)
 	// OnHead is called with the head of the final response, before its body is read. It
 	// is not called for heads that cannot belong to the request. It may be nil.
 	OnHead func(status int, h http.Header)
@@ -130,7 +132,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Stage: NotSent, cause: err}
 	}
-	c, err := p.get(ctx, time.Now(), o.NewConn)
+	c, err := p.get(ctx, time.Now(), &o)
 	if err != nil {
 		return nil, &Error{Stage: NotSent, cause: err}
 	}
--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -192,6 +192,7 @@
 	opts := backend.Options{
 		NewConn: j.Match.Class != site.Repeatable, MaxBufferedBody: d.cfg.MaxBufferedBody, Contract: d.cfg.Contract,
 		BeforeWrite: func(now time.Time) error { return d.checkBeforeWrite(ctx, now, j, g.Server) },
+		OnConnect:   d.countConnect,
 		OnHead:      func(status int, h http.Header) { d.observeHead(j, t, status, h) },
 	}
 	start := time.Now()
@@ -205,6 +206,11 @@
 	d.reportAttempt(j, t, time.Since(start))
 }
 
+// countConnect counts a new connection to a server by its result.
+func (d *Dispatcher) countConnect(r backend.ConnectResult) {
+	d.cfg.Scope.Tagged(map[string]string{"result": string(r)}).Counter("connects").Inc(1)
+}
+
 // reportAttempt updates the metrics and logs a failed attempt with the values
 // that its classification is based on.
 func (d *Dispatcher) reportAttempt(j *Job, t *attempt, took time.Duration) {
--- a/pkg/home/grant.go
+++ b/pkg/home/grant.go
@@ -292,20 +292,28 @@
 			return
 		}
 		h.updateQuarantine(now, e, g)
-		before := p.FailureStreakOf(now, g.Server.Name)
-		h.reportEvents(now, id, p.Release(now, g, e.Report))
-		reportStreakChange(p, before, p.FailureStreakOf(now, g.Server.Name), e.Report)
+		before, holder := p.FailureStreakOf(now, g.Server.Name), p.HolderOf(e.Grant)
+		events := p.Release(now, g, e.Report)
+		h.reportEvents(now, id, events)
+		if len(events) > 0 {
+			record.Log("home: a report changed a server's state", "pool", id, "server", g.Server.Name, "vm", holder,
+				"end", reportName(e.Report))
+		}
+		reportStreakChange(p, before, p.FailureStreakOf(now, g.Server.Name), holder, e.Report)
 		h.dispatchQueue(now, p)
 	})
 }
 
-// reportStreakChange logs when the end of a request lengthened or ended its
+// reportName returns the name of a report's type for logs.
+func reportName(r pool.Report) string { return fmt.Sprintf("%T", r)[len("pool."):] }
+
+// reportStreakChange logs when the end of a VM's request lengthened or ended its
 // server's failure streak.
-func reportStreakChange(p *ownedPool, before, after pool.FailureStreak, r pool.Report) {
+func reportStreakChange(p *ownedPool, before, after pool.FailureStreak, vm string, r pool.Report) {
 	switch {
 	case after.Failures > before.Failures:
 		record.Log("home: server in back-off after a failure", "pool", p.ID(), "server", after.Server, "failures", after.Failures,
-			"rest", after.BackOff.Round(time.Millisecond), "end", fmt.Sprintf("%T", r)[len("pool."):])
+			"rest", after.BackOff.Round(time.Millisecond), "end", reportName(r), "vm", vm)
 	case after.Failures == 0 && before.Failures > 0:
 		record.Log("home: server recovered", "pool", p.ID(), "server", after.Server, "failures", before.Failures,
 			"age", before.Age.Round(time.Millisecond))
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -431,3 +431,11 @@
 	}
 	return o.grant, true
 }
+
+// HolderOf returns the VM that holds a grant, or "" if the grant has been released.
+func (p *Pool) HolderOf(id GrantID) string {
+	if o, ok := p.grants[id]; ok {
+		return o.vm
+	}
+	return ""
+}
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -28,6 +28,7 @@
 // Metrics lists all metrics. The operators' page is generated from it.
 var Metrics = []Metric{
 	{"dispatch", "claims", Counter, "", "claims", "Claims of idempotency keys that this VM attempted."},
+	{"dispatch", "connects", Counter, "result", "connections", "New connections to servers that this VM tried to open, by result: connected, refused, reset, timedOut, canceled, failed."},
 	{"dispatch", "declinedGrants", Counter, "reason", "grants", "Grants of a pool's home that this VM declined because of what it knows of the server: unlisted, leaving, paused."},
 	{"dispatch", "invalidNotices", Counter, "", "responses", "Responses whose Retry-After, or whose header that says that the server leaves, could not be read."},
 	{"dispatch", "leavingServers", Counter, "", "servers", "Servers that have told this VM in a response that they leave."},
