trial, standin: VMs cut off from servers in three ways, as a test that fails

TestVMsCutOffFromServersServeTheirCallers, in virtual time: any VMs but not all are cut off from any servers (connections hang, are reset, or new ones are refused); from one second later on callers there must be served as elsewhere, and elsewhere as before, within 5 in 100, and no sound server may be kept back. No condition on how many VMs are cut or for how long. Some callers are told 'not run' of requests that ran.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -439,6 +439,9 @@
 // View returns this VM's view of the VMs among which roles are assigned.
 func (d *Daemon) View() *roster.View { return d.node.View() }
 
+// Pools returns the state of the pools that this VM owns.
+func (d *Daemon) Pools(ctx context.Context) []pool.View { return d.home.Status(ctx).Pools }
+
 // CatalogVersion returns the version of the current configuration.
 func (d *Daemon) CatalogVersion() int64 { return int64(d.replica.State().Version) }
 
--- a/pkg/pool/intent.go
+++ b/pkg/pool/intent.go
@@ -180,6 +180,7 @@
 	Score     float64     `json:"score"`
 	FailRate  float64     `json:"failRate"`
 	Strikes   int         `json:"strikes"`
+	Failures  int         `json:"failures"` // Back-offs of the current failure streak.
 	// Limit is the limit on requests that the server has named, at LimitNamedAt to the VM
 	// LimitNamedTo. LimitedGrants counts the requests granted against it.
 	Limit         site.RequestLimit `json:"limit"`
@@ -203,7 +204,7 @@
 	for _, v := range p.order {
 		out.Servers = append(out.Servers, ServerView{
 			Server: v.cfg, State: v.state, Since: v.since, Reason: v.reason, InUse: v.inUse,
-			OpenSlots: v.openSlots, Score: v.score(), FailRate: v.failRate, Strikes: v.strikes,
+			OpenSlots: v.openSlots, Score: v.score(), FailRate: v.failRate, Strikes: v.strikes, Failures: v.streak,
 			Limit: v.limit, LimitNamedTo: v.namedTo, LimitNamedAt: v.namedAt, LimitedGrants: v.limitedGrants,
 			PausedVMs: p.pauses.vmsOf(v),
 		})
--- a/pkg/standin/network.go
+++ b/pkg/standin/network.go
@@ -28,6 +28,7 @@
 	listeners   map[string]*listener
 	conns       map[*Conn]bool
 	cuts        map[Link]bool
+	partitions  map[Link]CutMode     // How hosts that are partitioned fail to reach each other.
 	pausedUntil map[string]time.Time // End of the pause, by host.
 	delay       func(Link) time.Duration
 	port        int
@@ -41,7 +42,7 @@
 	}
 	return &Network{
 		listeners: make(map[string]*listener), conns: make(map[*Conn]bool),
-		cuts: make(map[Link]bool), pausedUntil: make(map[string]time.Time), delay: delay, port: 10000,
+		cuts: make(map[Link]bool), partitions: make(map[Link]CutMode), pausedUntil: make(map[string]time.Time), delay: delay, port: 10000,
 	}
 }
 
@@ -173,6 +174,9 @@
 	if err := control.Sleep(ctx, time.Until(n.arrival(out))+time.Until(n.arrival(reverse))); err != nil {
 		return nil, err
 	}
+	if err := n.dialError(out); err != nil {
+		return nil, err
+	}
 	n.mu.Lock()
 	l := n.listeners[address]
 	n.mu.Unlock()
