egress: requests of a VM that is cut off from servers go through another VM

What callers saw: 4 of 315 first attempts served at VMs whose links to the servers were cut, and sound servers out of use for the callers of other VMs. Cause: a VM that cannot connect to a server took this for the server's failure. It reported it (back-off, even 'crashed', quarantine of the request), and it had no other way to the server. Class: a failure between two parties is booked on one of them by the other alone. Change: pkg/egress. A connection that fails within 60 ms or at once sends the same attempt, with the same slot, through another VM, which checks what servers have told it, connects only to servers that it knows, passes nothing on, and is bounded (limits.carriedRequests). A server counts as unreachable or crashed only if VMs that reach other servers do not reach it either, or if it refuses this VM while a server beside it accepts. Three failed links in a row, checked at once, make a VM count as cut off; one link at a time is checked until it is back. The home's checks of servers that are down go the same way. A connect that times out is told as such, no longer as a deadline that has passed. Ruled out: leaving the balancer's rotation (kept callers stay; with most of a data centre out all are used again); a lent connection (the lender could not check what servers told it before each write); proto messages for it (the attempt must stream).

--- a/pkg/backend/connect.go
+++ b/pkg/backend/connect.go
@@ -3,10 +3,30 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"syscall"
+	"time"
 )
 
+// ErrNoKeptConn means that no connection was idle, where a new one must not be opened.
+var ErrNoKeptConn = errors.New("no open connection to the server")
+
+// connectTimeoutError means that a connection could not be opened in time, although the request
+// still had time left.
+type connectTimeoutError struct {
+	address string
+	timeout time.Duration
+}
+
+// Error returns the address and the timeout.
+func (e *connectTimeoutError) Error() string {
+	return fmt.Sprintf("no connection to %s within %v", e.address, e.timeout)
+}
+
+// Is reports that the error is a timeout of a system call.
+func (*connectTimeoutError) Is(target error) bool { return target == syscall.ETIMEDOUT }
+
 // ConnectResult is how the attempt to open a connection ended.
 type ConnectResult string
 
--- a/pkg/backend/connpool.go
+++ b/pkg/backend/connpool.go
@@ -9,6 +9,7 @@
 package backend
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"slices"
@@ -40,9 +41,10 @@
 	return &ConnPool{address: address, dial: dial}
 }
 
-// CheckReachable returns an error if no new connection to the peer can be opened.
-func (p *ConnPool) CheckReachable(ctx context.Context) error {
-	nc, err := p.open(ctx)
+// CheckReachable returns an error if no new connection to the peer can be opened within a
+// timeout.
+func (p *ConnPool) CheckReachable(ctx context.Context, timeout time.Duration) error {
+	nc, err := p.open(ctx, timeout)
 	if err != nil {
 		return err
 	}
@@ -61,10 +63,17 @@
 	}
 }
 
-func (p *ConnPool) open(ctx context.Context) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+// open opens a connection within a timeout, or within dialTimeout if that is zero. A timeout
+// of its own is not reported as the end of the context.
+func (p *ConnPool) open(ctx context.Context, timeout time.Duration) (net.Conn, error) {
+	timeout = cmp.Or(timeout, dialTimeout)
+	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return p.dial(ctx, p.address)
+	nc, err := p.dial(bounded, p.address)
+	if ctx.Err() == nil && ConnectResultOf(err) == ConnectTimedOut {
+		return nil, &connectTimeoutError{p.address, timeout}
+	}
+	return nc, err
 }
 
 // get returns a usable idle connection, or a new one. If the options ask for a new one, it
@@ -81,7 +90,10 @@
 		}
 		c.close()
 	}
-	nc, err := p.open(ctx)
+	if o.KeptOnly {
+		return nil, ErrNoKeptConn
+	}
+	nc, err := p.open(ctx, o.ConnectTimeout)
 	if o.OnConnect != nil {
 		o.OnConnect(ConnectResultOf(err))
 	}
--- a/pkg/backend/send.go
+++ b/pkg/backend/send.go
@@ -53,6 +53,8 @@
 // Options control how a request is sent.
 type Options struct {
 	NewConn           bool          // Use a new connection.
+	KeptOnly          bool          // Use no new connection; if none is idle, fail with ErrNoKeptConn.
+	ConnectTimeout    time.Duration // For opening a connection; zero for the default.
 	ResponseTimeout   time.Duration // Timeout for the response head; each interim response restarts it. Zero for none.
 	ReusedConnTimeout time.Duration // Replaces ResponseTimeout on a reused connection, which may be dead.
 	MaxBufferedBody   int           // Largest body, in bytes, that is buffered until it is complete.
@@ -105,12 +107,19 @@
 // Error describes how a request failed.
 type Error struct {
 	Stage    Stage
+	Connect  bool // There was no connection: opening one failed, or none was kept.
 	Reused   bool // The connection had carried an earlier request.
 	Received bool // Bytes came after the request was written.
 	TimedOut bool // The response timeout expired.
 	cause    error
 }
 
+// NewError returns an error of a request that failed at a stage.
+func NewError(s Stage, cause error) *Error { return &Error{Stage: s, cause: cause} }
+
+// NewConnectError returns an error of a request for which there was no connection.
+func NewConnectError(cause error) *Error { return &Error{Stage: NotSent, Connect: true, cause: cause} }
+
 // String returns a description of the stage for people.
 func (s Stage) String() string {
 	return [...]string{"not sent", "no response", "invalid response"}[s]
@@ -134,7 +143,7 @@
 	}
 	c, err := p.get(ctx, time.Now(), &o)
 	if err != nil {
-		return nil, &Error{Stage: NotSent, cause: err}
+		return nil, &Error{Stage: NotSent, Connect: true, cause: err}
 	}
 	if err := o.checkBeforeWrite(time.Now()); err != nil {
 		c.close()
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"laburnumpick.org/pkg/catalog"
 	"laburnumpick.org/pkg/claim"
 	"laburnumpick.org/pkg/dispatch"
+	"laburnumpick.org/pkg/egress"
 	"laburnumpick.org/pkg/entry"
 	"laburnumpick.org/pkg/fleet"
 	"laburnumpick.org/pkg/fleetapi"
@@ -111,6 +112,7 @@
 	registry      *registry.Replica
 	notices       *notice.Memory
 	home          *home.Home
+	egress        *egress.Sender
 	dispatcher    *dispatch.Dispatcher
 	callers       *caller.Server
 	listener      net.Listener // For callers.
@@ -259,8 +261,9 @@
 		lg = catalog.NewLog(p.Store, site.Name(set.VM.Site))
 		p.Source = lg
 	}
+	d.egress = egress.NewSender(d.egressConfig(nw, self, jr))
 	d.home = home.New(home.Config{
-		VM: set.VM.Name, Site: site.Name(set.VM.Site), Dial: nw.Dial, Store: p.Store,
+		VM: set.VM.Name, Site: site.Name(set.VM.Site), Reaches: d.reaches, Store: p.Store,
 		Replica: d.replica, Registry: d.registry, Journal: jr, Scope: d.tel.Scope.SubScope("home"),
 		Retry:      d.retryLimits,
 		OnLoss:     func(l quarantine.Loss) { d.node.BroadcastLoss(context.Background(), l) },
@@ -273,7 +276,7 @@
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Site: site.Name(set.VM.Site), DataCentre: self.DataCentre,
 		Holder: claim.Holder{VM: set.VM.Name, Address: d.addr.VMs}, Homes: d.node,
-		Dial: nw.Dial, Contract: p.Contract, Registry: d.registry, Notices: d.notices, Store: p.Store, Journal: jr,
+		Egress: d.egress, Contract: p.Contract, Registry: d.registry, Notices: d.notices, Store: p.Store, Journal: jr,
 		Tracer: d.tel.Tracer, Scope: d.tel.Scope.SubScope("dispatch"), MaxBufferedBody: set.Limits.BufferedResponseBytes,
 	})
 	d.entry = entry.New(d.entryConfig(self))
@@ -281,16 +284,16 @@
 		Node: d.node, Home: d.home, Dispatcher: d.dispatcher, ConfigLog: lg, Replica: d.replica, Store: p.Store, Journal: jr,
 		Stop: d.Stop,
 	})
-	d.buildServices(nw, ls, console)
+	d.buildServices(nw, ls, console, p.Contract)
 }
 
 // buildServices creates the servers and the supervisor tree. It starts none of them.
-func (d *Daemon) buildServices(nw Network, ls *listeners, c *operator.Console) {
+func (d *Daemon) buildServices(nw Network, ls *listeners, c *operator.Console, contract backend.Contract) {
 	set := d.set
 	d.callers = caller.New(caller.Config{Handler: d.entry, Limits: d.callerLimits, Parallel: d.entry.Parallel})
 	d.listener = newLimitListener(ls.callers, set.Limits.Connections, set.Limits.ConnectionsPerHost)
 	d.servers = []*server{
-		newServer("vms", ls.vms, d.vmHandler(), set),
+		newServer("vms", ls.vms, d.vmHandler(contract), set),
 		newServer("operators", ls.operators, d.operatorHandler(c), set),
 	}
 	if ls.health != nil {
@@ -303,7 +306,8 @@
 	control := suture.New("control", suture.Spec{EventHook: logEvent})
 	control.Add(d.home.Loop())
 	control.Add(d.dispatcher.OutcomeWriter())
-	control.Add(&pruner{d.dispatcher})
+	control.Add(egress.LinkChecker{Sender: d.egress})
+	control.Add(&pruner{d.egress})
 	if nw.EventLog != nil {
 		control.Add(record.DropReporter{Writer: nw.EventLog, Scope: d.tel.Scope.SubScope("record")})
 	}
@@ -414,11 +418,6 @@
 	return ""
 }
 
-// vmHandler returns the handler of calls by other VMs.
-func (d *Daemon) vmHandler() http.Handler {
-	return operator.RequireFleetToken(fleetapi.HeaderToken, d.set.Access.FleetToken, fleetapi.NewFleetServer(d.node.Server()))
-}
-
 // operatorHandler returns the handler for operators: Twirp calls, metrics and
 // spans.
 func (d *Daemon) operatorHandler(c *operator.Console) http.Handler {
@@ -513,7 +512,7 @@
 // closeIdleConnections closes the idle connections to backend servers and of
 // control calls.
 func (d *Daemon) closeIdleConnections() {
-	d.dispatcher.CloseIdle()
+	d.egress.CloseIdle()
 	for _, t := range d.transports {
 		t.CloseIdleConnections()
 	}
--- a/pkg/daemon/server.go
+++ b/pkg/daemon/server.go
@@ -13,7 +13,7 @@
 
 	"laburnumpick.org/pkg/caller"
 	"laburnumpick.org/pkg/control"
-	"laburnumpick.org/pkg/dispatch"
+	"laburnumpick.org/pkg/egress"
 	"laburnumpick.org/pkg/settings"
 )
 
@@ -99,8 +99,8 @@
 // idle too long.
 const pruneInterval = 2 * time.Second
 
-// pruner closes connections to backend servers that have been idle too long.
-type pruner struct{ dispatcher *dispatch.Dispatcher }
+// pruner closes connections to backend servers and VMs that have been idle too long.
+type pruner struct{ egress *egress.Sender }
 
 // Serve implements suture.Service.
 func (p *pruner) Serve(ctx context.Context) error {
@@ -108,6 +108,6 @@
 		if err := control.Sleep(ctx, pruneInterval); err != nil {
 			return err
 		}
-		p.dispatcher.Prune(time.Now())
+		p.egress.Prune(time.Now())
 	}
 }
--- a/pkg/dispatch/at_most_once.go
+++ b/pkg/dispatch/at_most_once.go
@@ -54,6 +54,9 @@
 			d.recordFailure(claimed, f)
 			return nil
 		}
+		if t.isFinal() {
+			break
+		}
 	}
 	d.releaseClaim(ctx, claimed, res)
 	return nil
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -11,6 +10,7 @@
 	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/claim"
 	"laburnumpick.org/pkg/control"
+	"laburnumpick.org/pkg/egress"
 	"laburnumpick.org/pkg/home"
 	"laburnumpick.org/pkg/journal"
 	"laburnumpick.org/pkg/notice"
@@ -41,13 +41,31 @@
 	ReportNotices(n site.ServiceName)
 }
 
+// Egress sends requests to servers, directly or through another VM. *egress.Sender implements it.
+type Egress interface {
+	// Send sends an attempt once.
+	Send(ctx context.Context, a *egress.Attempt) (*backend.Response, egress.Path, error)
+	// Check finds out whether a server can be reached, by this VM or by another one.
+	Check(ctx context.Context, t egress.Target) egress.Verdict
+	// LinkDown finds out whether this VM's link is why an attempt, which was sent directly at a
+	// time, has got nothing from its server.
+	LinkDown(ctx context.Context, t egress.Target, since time.Time) bool
+	// Doubt has this VM's link to a server checked soon.
+	Doubt(t egress.Target)
+	// LinkFailed reports whether an attempt that has got nothing from a server since a time may
+	// have failed because of this VM's links.
+	LinkFailed(s site.Server, since time.Time) bool
+	// CloseIdleTo closes the idle connections to a server.
+	CloseIdleTo(s site.Server)
+}
+
 // Config holds the settings and dependencies of a Dispatcher.
 type Config struct {
 	Site            site.Name
 	DataCentre      site.DataCentre
 	Holder          claim.Holder // This VM, as it is recorded in claims.
 	Homes           Homes
-	Dial            backend.Dialer
+	Egress          Egress
 	Contract        backend.Contract
 	Registry        *registry.Replica
 	Notices         *notice.Memory // What servers have told this VM.
@@ -63,10 +81,7 @@
 	cfg     Config
 	ledger  *claim.Ledger
 	claimed *claimedRequests
-	avoided *control.TTLSet[site.ServerName] // Servers that this VM recently could not reach or got no response from.
-
-	mu    sync.Mutex // Guards pools.
-	pools map[string]*backend.ConnPool
+	avoided *control.TTLSet[site.ServerName] // Servers that no VM could reach lately, or that did not respond to this one.
 }
 
 // New returns a dispatcher. The caller must run its OutcomeWriter.
@@ -74,7 +89,6 @@
 	l := claim.NewLedger(cfg.Store, cfg.Holder)
 	return &Dispatcher{
 		cfg: cfg, ledger: l, claimed: newClaimedRequests(l, cfg.Journal), avoided: control.NewTTLSet[site.ServerName](avoidTime),
-		pools: make(map[string]*backend.ConnPool),
 	}
 }
 
@@ -86,39 +100,6 @@
 // is not stored yet.
 func (d *Dispatcher) UnwrittenOutcomes() int { return d.claimed.unwrittenCount() }
 
-// CloseIdle closes all idle connections to backend servers.
-func (d *Dispatcher) CloseIdle() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, p := range d.pools {
-		p.CloseIdle()
-	}
-}
-
-// Prune closes the connections that have exceeded their idle timeout and removes
-// the connection pools that are then empty.
-func (d *Dispatcher) Prune(now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for address, p := range d.pools {
-		if p.Prune(now) {
-			delete(d.pools, address)
-		}
-	}
-}
-
-// connPool returns the connection pool of a server, creating it if necessary.
-func (d *Dispatcher) connPool(address string) *backend.ConnPool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	p, ok := d.pools[address]
-	if !ok {
-		p = backend.NewConnPool(address, d.cfg.Dial)
-		d.pools[address] = p
-	}
-	return p
-}
-
 // avoidTime is how long this VM excludes a server that it could not reach or
 // that did not respond. The expiry is short because the network path may be down
 // for this VM only.
--- a/pkg/dispatch/hedge.go
+++ b/pkg/dispatch/hedge.go
@@ -47,6 +47,9 @@
 			if resp := r.handleFinished(t); resp != nil {
 				return resp
 			}
+			if t.isFinal() && len(r.running) == 0 {
+				return r.finalResponse()
+			}
 			if ctx.Err() != nil && len(r.running) == 0 {
 				return r.finalResponse()
 			}
--- a/pkg/dispatch/notices.go
+++ b/pkg/dispatch/notices.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"laburnumpick.org/pkg/egress"
 	"laburnumpick.org/pkg/outcome"
 	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/record"
@@ -16,27 +17,48 @@
 // observeNotice records whether the head of a response says that its server leaves, or wants
 // no requests from this VM for a time.
 func (d *Dispatcher) observeNotice(now time.Time, j *Job, t *attempt, status int, h http.Header) {
+	if d.recordNotice(now, t.target(j), status, h) {
+		t.slot.ReportNotices(j.Match.Service)
+	}
+}
+
+// ObserveCarried records what the head of a response to another VM's request, which this VM
+// carried, says about its server.
+func (d *Dispatcher) ObserveCarried(now time.Time, t egress.Target, status int, h http.Header) {
+	if status != http.StatusMisdirectedRequest {
+		d.recordNotice(now, t, status, h)
+	}
+}
+
+// recordNotice records what the head of a response says about its server. It reports whether
+// the server leaves and the pool's home must be told at once.
+func (d *Dispatcher) recordNotice(now time.Time, t egress.Target, status int, h http.Header) bool {
 	leaving, leavingErr := d.cfg.Contract.Leaving(h)
 	pause, pauseErr := d.cfg.Contract.Pause(status, h)
-	s := t.grant.Server
+	n, s := t.Service, t.Server
 	if err := errors.Join(leavingErr, pauseErr); err != nil {
 		d.cfg.Scope.Counter("invalidNotices").Inc(1)
-		record.Log("dispatch: response has an invalid header", "service", j.Match.Service, "server", s.Name,
+		record.Log("dispatch: response has an invalid header", "service", n, "server", s.Name,
 			"reason", err, "leaving", leaving, "pause", pause)
 	}
-	if !d.cfg.Notices.Record(now, j.Match.Service, s, leaving, pause) {
-		return
+	if !d.cfg.Notices.Record(now, n, s, leaving, pause) {
+		return false
 	}
 	if pause > 0 {
 		d.cfg.Scope.Counter("pauses").Inc(1)
-		record.Log("dispatch: server wants no requests from this VM", "service", j.Match.Service, "server", s.Name, "pause", pause)
+		record.Log("dispatch: server wants no requests from this VM", "service", n, "server", s.Name, "pause", pause)
 	}
 	if leaving {
 		d.cfg.Scope.Counter("leavingServers").Inc(1)
-		record.Log("dispatch: server says that it leaves", "service", j.Match.Service, "server", s.Name)
-		d.connPool(s.Address).CloseIdle()
-		t.slot.ReportNotices(j.Match.Service)
+		record.Log("dispatch: server says that it leaves", "service", n, "server", s.Name)
+		d.cfg.Egress.CloseIdleTo(s)
 	}
+	return leaving
+}
+
+// CheckNotice returns an error if this VM must not send a request to a server.
+func (d *Dispatcher) CheckNotice(now time.Time, t egress.Target) error {
+	return d.checkNotice(now, t.Service, t.Server)
 }
 
 // withheldError means that a request was not written, because of what its server has told
--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -16,10 +16,12 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"laburnumpick.org/pkg/backend"
+	"laburnumpick.org/pkg/egress"
 	"laburnumpick.org/pkg/home"
 	"laburnumpick.org/pkg/outcome"
 	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/record"
+	"laburnumpick.org/pkg/roster"
 	"laburnumpick.org/pkg/site"
 	"laburnumpick.org/pkg/telemetry"
 )
@@ -28,10 +30,16 @@
 // response still accepts new ones.
 const reachTimeout = 300 * time.Millisecond
 
+// minDoubt is the least time without a response after which the link to a server is checked.
+const minDoubt = 100 * time.Millisecond
+
 // attempt is one attempt to run a job on one server.
 type attempt struct {
 	slot      Slot
 	grant     pool.Granted
+	startedAt time.Time
+	sentAt    time.Time     // When the request was sent on the path that it took in the end.
+	via       roster.VMName // The VM that carried the request; empty if this VM sent it itself.
 	response  *backend.Response
 	refusal   pool.DeclineReason // Set if the server refused the request before running its handler.
 	err       *backend.Error
@@ -195,15 +203,28 @@
 		OnConnect:   d.countConnect,
 		OnHead:      func(status int, h http.Header) { d.observeHead(j, t, status, h) },
 	}
-	start := time.Now()
-	resp, err := d.connPool(g.Server.Address).Send(ctx, d.buildRequest(ctx, j, g.Server), opts)
-	t.response = resp
+	t.startedAt = time.Now()
+	// A server that is silent for longer than usual may be behind a link that is down.
+	doubt := time.AfterFunc(max(g.Timeout, minDoubt), func() { d.cfg.Egress.Doubt(t.target(j)) })
+	defer doubt.Stop()
+	resp, path, err := d.cfg.Egress.Send(ctx, &egress.Attempt{
+		Target: t.target(j), Request: d.buildRequest(ctx, j, g.Server), Options: opts,
+	})
+	t.response, t.via, t.sentAt = resp, path.VM, path.Since
 	t.err, _ = errors.AsType[*backend.Error](err)
-	d.classify(ctx, j, t, time.Since(start))
+	if path.VM != "" {
+		span.SetAttributes(attribute.String("via", string(path.VM)))
+	}
+	d.classify(ctx, j, t, time.Since(t.sentAt))
 	if t.err != nil {
 		span.SetStatus(codes.Error, t.err.Error())
 	}
-	d.reportAttempt(j, t, time.Since(start))
+	d.reportAttempt(j, t, time.Since(t.startedAt))
+}
+
+// target returns the server that the attempt is sent to.
+func (t *attempt) target(j *Job) egress.Target {
+	return egress.Target{Service: j.Match.Service, Server: t.grant.Server}
 }
 
 // countConnect counts a new connection to a server by its result.
@@ -223,7 +244,7 @@
 	record.Log("dispatch: try failed", "id", j.Request.ID, "server", t.grant.Server.Name,
 		"home", t.slot.Home(), "took", took.Round(time.Millisecond), "patience", t.grant.Timeout,
 		"trial", t.grant.Probe, "beaten", t.lostHedge.Load(), "registry", d.cfg.Registry.State().Revision,
-		"stage", stageName(t), "reused", t.err != nil && t.err.Reused, "reason", t.failure().Detail())
+		"stage", stageName(t), "via", t.via, "reused", t.err != nil && t.err.Reused, "reason", t.failure().Detail())
 }
 
 // stageName returns how far a failed attempt got.
@@ -263,29 +284,93 @@
 		t.report = pool.Declined{Reason: t.refusal}
 		return
 	}
+	if t.err.Stage == backend.NotSent {
+		d.classifyNotSent(ctx, t, took, rule)
+		return
+	}
 	timedOut := t.lostHedge.Load() && took >= t.grant.Timeout
-	if timedOut || (t.err.Stage == backend.NotSent && ctx.Err() == nil) {
-		d.avoided.Add(time.Now(), t.grant.Server.Name)
-		d.connPool(t.grant.Server.Address).CloseIdle() // The failure may be due to stale idle connections.
+	if d.isBlameless(t) || (timedOut && d.linkIsDown(ctx, j, t)) {
+		t.report = pool.Dropped{}
+		return
+	}
+	if timedOut {
+		d.avoid(t.grant.Server)
 	}
 	switch {
 	case timedOut:
 		t.report = pool.Failed{Rule: rule, Took: took, Detail: "no response after the attempt timeout; another server responded first"}
 	case ctx.Err() != nil:
 		t.report = pool.Dropped{Rule: rule, Took: took}
-	case t.err.Stage == backend.NotSent:
+	case t.err.Stage == backend.NoResponse:
+		t.report = d.classifyNoResponse(ctx, j, t, took)
+	default:
+		t.report = pool.Failed{Rule: rule, Took: took, Detail: t.err.Error()}
+	}
+}
+
+// classifyNotSent sets the report about an attempt of which no byte was sent. Only if other VMs
+// do not reach the server either does it say anything about the server.
+func (d *Dispatcher) classifyNotSent(ctx context.Context, t *attempt, took time.Duration, rule site.RuleName) {
+	switch {
+	case ctx.Err() != nil:
+		t.report = pool.Dropped{Rule: rule, Took: took}
+	case errors.Is(t.err, egress.ErrUnreachable):
+		d.avoid(t.grant.Server)
 		t.report = pool.Unreached{Detail: t.err.Error()}
-	case t.err.Stage == backend.NoResponse && d.refusesConnections(ctx, t.grant.Server):
-		t.report = pool.Unreached{Crashed: true}
-	case t.err.Stage == backend.NoResponse && t.err.Reused && !t.err.Received:
+	default:
+		t.report = pool.Dropped{}
+	}
+}
+
+// isBlameless reports whether an attempt without a complete response failed because of this VM's
+// link to the server, or of the VM that carried the request.
+func (d *Dispatcher) isBlameless(t *attempt) bool {
+	if errors.Is(t.err, egress.ErrCarrierLost) {
+		return true
+	}
+	return t.isSilent() && d.cfg.Egress.LinkFailed(t.grant.Server, t.startedAt)
+}
+
+// isSilent reports whether nothing came over this VM's own link to the server.
+func (t *attempt) isSilent() bool { return t.via == "" && !t.err.Received }
+
+// linkIsDown finds out whether this VM's link to the server of a silent attempt is down. Nobody
+// waits for the attempt any more.
+func (d *Dispatcher) linkIsDown(ctx context.Context, j *Job, t *attempt) bool {
+	if !t.isSilent() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reachTimeout)
+	defer cancel()
+	return d.cfg.Egress.LinkDown(ctx, t.target(j), t.startedAt)
+}
+
+// classifyNoResponse returns the report about an attempt whose connection ended without a
+// response. It finds out whether the server has crashed.
+func (d *Dispatcher) classifyNoResponse(ctx context.Context, j *Job, t *attempt, took time.Duration) pool.Report {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	switch verdict := d.cfg.Egress.Check(ctx, t.target(j)); {
+	case verdict == egress.ServerRefuses:
+		return pool.Unreached{Crashed: true}
+	case verdict == egress.ServerReachedElsewhere && t.via == "", verdict == egress.ServerUnknown:
+		return pool.Dropped{} // The link has failed, not the server.
+	case t.err.Reused && !t.err.Received:
 		// The server most likely closed the reused connection because it was
 		// idle, just as the request was sent.
-		t.report = pool.Dropped{}
+		return pool.Dropped{}
 	default:
-		t.report = pool.Failed{Rule: rule, Took: took, Detail: t.err.Error()}
+		return pool.Failed{Rule: j.Match.Rule, Took: took, Detail: t.err.Error()}
 	}
 }
 
+// avoid excludes a server from this VM's grants for a while, and closes the idle connections to
+// it, which may be stale.
+func (d *Dispatcher) avoid(s site.Server) {
+	d.avoided.Add(time.Now(), s.Name)
+	d.cfg.Egress.CloseIdleTo(s)
+}
+
 func (d *Dispatcher) classifyResponse(j *Job, t *attempt, took time.Duration) {
 	resp := t.response
 	if reason, refused := d.cfg.Contract.Refusal(resp); refused {
@@ -322,14 +407,12 @@
 	return r
 }
 
-// refusesConnections reports whether a server that closed a connection without a
-// response refuses new connections too, which means that it has crashed.
-func (d *Dispatcher) refusesConnections(ctx context.Context, s site.Server) bool {
-	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
-	defer cancel()
-	err := d.connPool(s.Address).CheckReachable(ctx)
-	return err != nil && ctx.Err() == nil
-}
+// noPathRetryAfter is the suggested retry delay for callers of a VM that is cut off from all
+// servers, with no other VM that could carry the request.
+const noPathRetryAfter = time.Second
+
+// isFinal reports whether no other server is worth trying after an attempt that was not sent.
+func (t *attempt) isFinal() bool { return t.err != nil && errors.Is(t.err, egress.ErrNoPath) }
 
 // failure returns the failure that is reported to the caller for an attempt without
 // a response.
@@ -343,6 +426,8 @@
 		return outcome.New(outcome.Overload, "server %s refused the request: %s", n, t.refusal)
 	case t.err.Stage == backend.NotSent && errors.Is(t.err, context.Canceled):
 		return outcome.New(outcome.Canceled, "the caller went away")
+	case errors.Is(t.err, egress.ErrNoPath):
+		return outcome.New(outcome.NoServer, "%v", t.err).WithRetryAfter(noPathRetryAfter)
 	case t.err.Stage == backend.NotSent && errors.Is(t.err, context.DeadlineExceeded):
 		return outcome.New(outcome.DeadlinePassed, "the deadline passed before the request was sent")
 	case t.err.Stage == backend.NotSent:
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -120,6 +120,9 @@
 	e.stopping.Store(true)
 }
 
+// Stopping reports whether this VM is stopping.
+func (e *Entry) Stopping() bool { return e.stopping.Load() }
+
 // refusePastStop refuses a request that could outlast this VM. It returns nil if
 // the request may run.
 func (e *Entry) refusePastStop(now time.Time, maxDuration time.Duration) *outcome.Failure {
@@ -455,7 +458,7 @@
 	}
 	x.status = resp.Status
 	x.w.WriteHeader(resp.Status)
-	if err := dispatch.WriteBody(x.w, resp); err != nil {
+	if err := backend.WriteBody(x.w, resp); err != nil {
 		panic(http.ErrAbortHandler) // The caller must be able to see that the body is truncated.
 	}
 }
--- a/pkg/home/home.go
+++ b/pkg/home/home.go
@@ -15,7 +15,6 @@
 	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
-	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/catalog"
 	"laburnumpick.org/pkg/control"
 	"laburnumpick.org/pkg/floor"
@@ -37,9 +36,10 @@
 
 // Config holds the dependencies of a home.
 type Config struct {
-	VM        string
-	Site      site.Name
-	Dial      backend.Dialer
+	VM   string
+	Site site.Name
+	// Reaches reports whether a VM of the fleet can open a connection to a server.
+	Reaches   func(ctx context.Context, n site.ServiceName, s site.Server) bool
 	Store     store.Table
 	Replica   *catalog.Replica
 	Registry  *registry.Replica
--- a/pkg/home/intents.go
+++ b/pkg/home/intents.go
@@ -8,7 +8,6 @@
 
 	"k8s.io/klog/v2"
 
-	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/floor"
 	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/quarantine"
@@ -126,10 +125,10 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), connectionCheckTimeout)
 		defer cancel()
-		err := backend.NewConnPool(s.Address, h.cfg.Dial).CheckReachable(ctx)
+		reached := h.cfg.Reaches(ctx, site.ServiceName(id), s)
 		h.loop.Post(func(now time.Time) {
 			if p, ok := h.pools[id]; ok {
-				h.reportEvents(now, id, p.ConnectionChecked(now, s.Name, err == nil))
+				h.reportEvents(now, id, p.ConnectionChecked(now, s.Name, reached))
 			}
 		})
 	}()
--- a/pkg/record/record.go
+++ b/pkg/record/record.go
@@ -30,6 +30,7 @@
 const (
 	Answered Kind = "answered" // A request got its response.
 	Granted  Kind = "granted"  // A pool's home VM granted a slot on a server.
+	Carried  Kind = "carried"  // A VM ran, or was asked to run, a request for another VM.
 )
 
 // ordinarySampler rate-limits the ordinary lines of this process.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -109,7 +109,10 @@
 	// ConfirmationsPerSecond limits the reads and writes of the table which confirm
 	// that a refused keyed request has not run.
 	ConfirmationsPerSecond float64 `yaml:"vouchesPerSecond"`
-	Account                Account `yaml:"account"`
+	// CarriedRequests limits the concurrent requests that the VM runs for other VMs whose links
+	// to backend servers are down.
+	CarriedRequests int     `yaml:"carriedRequests"`
+	Account         Account `yaml:"account"`
 }
 
 // Account holds the limits of client accounts that have none of their own.
@@ -189,7 +192,8 @@
 		Limits: Limits{
 			BodyBytes: 1 << 20, BufferedResponseBytes: 1 << 20, HeaderBytes: 32 << 10, Requests: 2000,
 			CallerTimeout: 10 * time.Second, ConfirmationsPerSecond: 4, Connections: 10_000, ConnectionsPerHost: 2000,
-			Account: Account{Rate: 200, Burst: 400, InFlight: 100},
+			CarriedRequests: 200,
+			Account:         Account{Rate: 200, Burst: 400, InFlight: 100},
 		},
 		Stop:  Stop{BalancerDelay: 2 * time.Second, DrainTimeout: 30 * time.Second},
 		Trace: Trace{SampleRatio: 0.01, MaxSpans: 2000},
@@ -369,6 +373,7 @@
 	checkRange(c, "limits.connections", l.Connections, 1, 1_000_000)
 	checkRange(c, "limits.connectionsFromOne", l.ConnectionsPerHost, 1, 1_000_000)
 	checkRange(c, "limits.vouchesPerSecond", l.ConfirmationsPerSecond, 0.01, 1000)
+	checkRange(c, "limits.carriedRequests", l.CarriedRequests, 0, 60_000)
 	checkRange(c, "limits.account.rate", l.Account.Rate, 0.001, 1e6)
 	checkRange(c, "limits.account.burst", l.Account.Burst, 1, 1_000_000)
 	checkRange(c, "limits.account.inFlight", l.Account.InFlight, 1, 1_000_000)
--- a/pkg/trial/fleet.go
+++ b/pkg/trial/fleet.go
@@ -41,6 +41,7 @@
 	StoreDelay   time.Duration            // Duration of each call to the store.
 	Standalone   bool                     // VMs do not coordinate; the baseline of comparisons.
 	Registered   bool                     // The servers register themselves.
+	SteadyTimes  bool                     // Each request takes a service's mean processing time, so that none is slow by chance.
 	Downtime     time.Duration            // How long a server stays down after a crash.
 	EditSettings func(*settings.Settings) // Edits the settings of each VM; may be nil.
 }
@@ -147,8 +148,12 @@
 			seed++
 			host := string(n)
 			f.setLocation(host, f.Plan.DataCentre(j))
+			mean, base := s.Mean, s.Base
+			if f.opts.SteadyTimes {
+				mean, base = 0, s.Mean+s.Base
+			}
 			srv, err := standin.NewServer(standin.ServerConfig{
-				Name: host, Address: host + ":80", Slots: s.Slots, Mean: s.Mean, Base: s.Base,
+				Name: host, Address: host + ":80", Slots: s.Slots, Mean: mean, Base: base,
 				Downtime: f.opts.Downtime, Seed: seed, Listen: f.Net.Listen,
 				ResetConns: func() { f.Net.Kill(host) },
 			})
--- a/pkg/trial/partition_test.go
+++ b/pkg/trial/partition_test.go
@@ -199,7 +199,7 @@
 	for i, c := range partitionCases {
 		for seed := *partitionFirst; seed < *partitionFirst+*partitionSeeds; seed++ {
 			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
-				o := trial.Options{VMs: 8, Seed: seed, StoreDelay: time.Millisecond, Registered: true}
+				o := trial.Options{VMs: 8, Seed: seed, StoreDelay: time.Millisecond, Registered: true, SteadyTimes: true}
 				withFleet(t, "tt-north", o, func(t *testing.T, f *trial.Fleet) { checkPartition(t, f, c, rand.New(rand.NewPCG(seed, uint64(i)))) })
 			})
 		}
