egress: a VM that does not reach one server carries requests for others; tests of the way

Cause: a VM whose link to one server is down replied that it is cut off, so that it was not asked again for a second for any server; after a crash that held for every VM. Now it says that it does not reach the server, after opening a connection to another one, which is the testimony that the asking VM needs.

--- a/pkg/egress/carry.go
+++ b/pkg/egress/carry.go
@@ -68,7 +68,10 @@
 	ctx, cancel := context.WithTimeout(r.Context(), c.left)
 	defer cancel()
 	if c.request == nil {
-		result = resultOfConnect(h.cfg.Sender.checkDirect(ctx, c.target))
+		result = Unreachable
+		if h.cfg.Sender.links.Use(start, c.target.Server.Name) == AnyConn {
+			result = resultOfConnect(h.cfg.Sender.checkDirect(ctx, c.target))
+		}
 		h.refuse(w, r, c, h.testify(ctx, c, result), "")
 		return
 	}
@@ -92,8 +95,8 @@
 		return c, Stopping, ""
 	case !ok || known.Address != c.target.Server.Address || known.StartedMs != c.target.Server.StartedMs:
 		return c, Unlisted, "this VM knows no such server"
-	case h.cfg.Sender.links.IsDown(known.Name):
-		return c, CutOff, errLinkDown.Error()
+	case h.cfg.Sender.links.Isolated():
+		return c, CutOff, "this VM is cut off from the backend servers"
 	case len(h.tasks) >= min(h.cfg.MaxAtOnce(), maxTasks-1):
 		return c, Busy, ""
 	}
@@ -191,8 +194,6 @@
 	}
 	e, _ := errors.AsType[*backend.Error](err)
 	switch {
-	case e.Connect && errors.Is(err, errLinkDown), e.Connect && errors.Is(err, backend.ErrNoKeptConn):
-		return CutOff
 	case e.Connect && ctx.Err() == nil:
 		return h.testify(ctx, c, resultOfConnect(connectResultOf(err)))
 	case e.Stage == backend.NotSent:
--- a/pkg/egress/links.go
+++ b/pkg/egress/links.go
@@ -135,14 +135,6 @@
 	return cutOff || (down && !l.since.Before(since)) || !k.provenAt.Before(since)
 }
 
-// IsDown reports whether the link to a server is down, or this VM cut off from all servers.
-func (k *Links) IsDown(n site.ServerName) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	_, down := k.down[n]
-	return down || !k.isolated.since.IsZero()
-}
-
 // Prove records that another VM has reached a server that this VM did not.
 func (k *Links) Prove(now time.Time) {
 	k.mu.Lock()
--- a/pkg/egress/message.go
+++ b/pkg/egress/message.go
@@ -135,8 +135,8 @@
 		Method: h.Get(headerMethod), URL: u, Host: h.Get(headerHost), Header: make(http.Header), Body: body,
 		ID: h.Get(backend.HeaderRequestID),
 	}
-	if c.request.Method == "" {
-		return nil, fmt.Errorf("%s is missing", headerMethod)
+	if !isToken(c.request.Method) {
+		return nil, fmt.Errorf("%s %.100q is no method", headerMethod, c.request.Method)
 	}
 	backend.CopyEndToEnd(c.request.Header, h)
 	removeInternal(c.request.Header)
@@ -145,14 +145,33 @@
 
 // parseTarget returns a URL whose RequestURI is the given request target.
 func parseTarget(target string) (*url.URL, error) {
-	u, err := url.ParseRequestURI(target)
+	if !strings.HasPrefix(target, "/") || strings.ContainsFunc(target, isNotPrintable) {
+		return nil, fmt.Errorf("%s %.100q is no path with a query", headerTarget, target)
+	}
+	raw, query, hasQuery := strings.Cut(target, "?")
+	path, err := url.PathUnescape(raw)
 	if err != nil {
-		return nil, err
+		path = raw
 	}
-	if u.RequestURI() != target {
-		return &url.URL{Opaque: target, Path: u.Path}, nil
+	u := &url.URL{Path: path, RawPath: raw, RawQuery: query, ForceQuery: hasQuery && query == ""}
+	switch {
+	case u.RequestURI() == target:
+		return u, nil
+	case strings.HasPrefix(target, "//"):
+		return nil, fmt.Errorf("%s %.100q cannot be sent as it is", headerTarget, target)
+	default:
+		return &url.URL{Opaque: target, Path: path}, nil
 	}
-	return u, nil
+}
+
+// isNotPrintable reports whether a character must not stand in the first line of a request.
+func isNotPrintable(r rune) bool { return r <= ' ' || r == 0x7f }
+
+// isToken reports whether a text may be the method of a request.
+func isToken(text string) bool {
+	return text != "" && !strings.ContainsFunc(text, func(r rune) bool {
+		return isNotPrintable(r) || r > 0x7f || strings.ContainsRune(`()<>@,;:\"/[]?={}`, r)
+	})
 }
 
 // removeInternal removes the headers that VMs send each other.
--- a/pkg/trial/partition_test.go
+++ b/pkg/trial/partition_test.go
@@ -57,6 +57,9 @@
 	// unsteady means that the disturbance takes VMs or servers away by itself, so that servers
 	// may be out of use for it.
 	unsteady bool
+	// storeAway means that the store is away during the cut, so that only requests without a key
+	// count.
+	storeAway bool
 }
 
 // cutMode returns the mode of the case, or one that is drawn.
@@ -120,6 +123,70 @@
 	}},
 }
 
+// halfOf draws half of the VMs.
+func halfOf(f *trial.Fleet, rng *rand.Rand) []*trial.VM {
+	vms := slices.Clone(f.Serving())
+	rng.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+	return vms[:len(vms)/2]
+}
+
+// eachOther calls do for some VMs that are not cut off, and so carry requests of those that are.
+func eachOther(f *trial.Fleet, cut []*trial.VM, n int, do func(vm *trial.VM)) {
+	for range n {
+		time.Sleep(1500 * time.Millisecond)
+		for _, vm := range f.Serving() {
+			if !slices.Contains(cut, vm) {
+				do(vm)
+				break
+			}
+		}
+	}
+}
+
+// disturbedPartitionCases are cuts with other failures of the VMs that carry requests, of
+// servers and of the store.
+var disturbedPartitionCases = []partitionCase{
+	{name: "VMs that carry are killed", vms: halfOf, unsteady: true, disturb: func(f *trial.Fleet, _ *rand.Rand, cut []*trial.VM) {
+		eachOther(f, cut, 3, f.Kill)
+	}},
+	{name: "VMs that carry pause", vms: halfOf, unsteady: true, disturb: func(f *trial.Fleet, rng *rand.Rand, cut []*trial.VM) {
+		eachOther(f, cut, 3, func(vm *trial.VM) { f.Net.Pause(vm.Name, time.Duration(200+rng.IntN(800))*time.Millisecond) })
+	}},
+	{name: "VMs that carry are replaced", vms: halfOf, unsteady: true, disturb: func(f *trial.Fleet, _ *rand.Rand, cut []*trial.VM) {
+		eachOther(f, cut, 2, func(vm *trial.VM) {
+			restart := trial.Fault{Kind: trial.RestartedVM, Target: vm.Name}
+			_ = restart.Run(f) // A VM that does not start gets no requests.
+		})
+	}},
+	{name: "VMs that carry are cut off in their turn", vms: halfOf, disturb: func(f *trial.Fleet, rng *rand.Rand, cut []*trial.VM) {
+		eachOther(f, cut, 2, func(vm *trial.VM) {
+			m := standin.CutModes()[rng.IntN(3)]
+			cutFromServers(f, []*trial.VM{vm}, nil, m)
+			time.Sleep(700 * time.Millisecond)
+			cutFromServers(f, []*trial.VM{vm}, nil, "")
+		})
+	}},
+	{name: "servers leave and pause", unsteady: true, disturb: func(f *trial.Fleet, rng *rand.Rand, _ []*trial.VM) {
+		for _, l := range partitionedLoads {
+			names := f.Plan.Service(l.service).ServerNames()
+			f.Servers[names[0]].SetFaults(standin.Faults{Leaving: true})
+			f.Servers[names[1]].SetFaults(standin.Faults{RetryAfter: "1.5", RetryAfterShare: 0.3 + 0.5*rng.Float64()})
+		}
+	}},
+	{name: "servers crash", unsteady: true, disturb: func(f *trial.Fleet, rng *rand.Rand, _ []*trial.VM) {
+		for range 3 {
+			time.Sleep(time.Second)
+			names := f.Plan.Service("packshelf").ServerNames()
+			f.Net.Kill(string(names[rng.IntN(len(names))]))
+		}
+	}},
+	{name: "the store is away", unsteady: true, storeAway: true, disturb: func(f *trial.Fleet, _ *rand.Rand, _ []*trial.VM) {
+		f.Store.SetFaults(storeUnavailable)
+		time.Sleep(5 * time.Second)
+		f.Store.SetFaults(storeHealthy)
+	}},
+}
+
 // cutFromServers cuts VMs off from servers, or restores the links if the mode is empty.
 func cutFromServers(f *trial.Fleet, vms []*trial.VM, servers func(*trial.Fleet, string) bool, m standin.CutMode) {
 	for n := range f.Servers {
@@ -176,12 +243,12 @@
 	}
 }
 
-// served returns the share of the requests sent between two times to the VMs that accept
-// takes which were answered with the right response, and their number.
-func (g *callLog) served(from, to time.Time, accept func(*trial.VM) bool) (share float64, n int) {
+// served returns the share of the requests sent between two times that accept takes which were
+// answered with the right response, and their number.
+func (g *callLog) served(from, to time.Time, accept func(sentCall) bool) (share float64, n int) {
 	ok := 0
 	for _, s := range g.calls {
-		if s.sentAt.Before(from) || !s.sentAt.Before(to) || !accept(s.vm) {
+		if s.sentAt.Before(from) || !s.sentAt.Before(to) || !accept(s) {
 			continue
 		}
 		n++
@@ -196,7 +263,7 @@
 // backend servers are cut that are served worse than others, and against VMs that spoil the
 // servers for the rest of the fleet because they cannot reach them.
 func TestVMsCutOffFromServersServeTheirCallers(t *testing.T) {
-	for i, c := range partitionCases {
+	for i, c := range slices.Concat(partitionCases, disturbedPartitionCases) {
 		for seed := *partitionFirst; seed < *partitionFirst+*partitionSeeds; seed++ {
 			t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
 				o := trial.Options{VMs: 8, Seed: seed, StoreDelay: time.Millisecond, Registered: true, SteadyTimes: true}
@@ -238,18 +305,20 @@
 	time.Sleep(cutLength - cutEnd)
 	close(stop)
 	wg.Wait()
-	isCut := func(vm *trial.VM) bool { return slices.Contains(cut, vm) }
-	others := func(vm *trial.VM) bool { return !isCut(vm) }
+	counts := func(s sentCall) bool { return !c.storeAway || s.call.Key == "" }
+	isCut := func(s sentCall) bool { return counts(s) && slices.Contains(cut, s.vm) }
+	others := func(s sentCall) bool { return counts(s) && !slices.Contains(cut, s.vm) }
 	from, to := begin.Add(cutAt+cutSettle), begin.Add(cutEnd)
 	before, _ := calls.served(begin.Add(time.Second), begin.Add(cutAt), others)
 	atCut, nCut := calls.served(from, to, isCut)
 	atOthers, nOthers := calls.served(from, to, others)
-	after, _ := calls.served(to.Add(cutSettle), begin.Add(cutLength), func(*trial.VM) bool { return true })
+	after, _ := calls.served(to.Add(cutSettle), begin.Add(cutLength), counts)
 	t.Logf("%d of 8 VMs cut (%s): served %.3f of %d there, %.3f of %d elsewhere, %.3f before, %.3f after", len(cut), mode, atCut, nCut, atOthers, nOthers, before, after)
 	assert.Check(t, atCut >= atOthers-maxServedLoss, "VMs that are cut off served %.3f of %d requests, the others %.3f of %d", atCut, nCut, atOthers, nOthers)
 	assert.Check(t, atOthers >= before-maxServedLoss, "VMs that are not cut off served %.3f, before the cut %.3f", atOthers, before)
 	assert.Check(t, after >= before-maxServedLoss, "after the cut %.3f are served, before it %.3f", after, before)
 	checkNone(t, "sound servers kept back", unsound)
+	checkNone(t, "requests against a server's word", noticeViolations(f, begin))
 	checkNone(t, "false replies", falseReplies(f, &calls))
 }
 
@@ -272,6 +341,18 @@
 	return out
 }
 
+// noticeViolations returns a line for each VM that sent a server requests which that server had
+// told it not to send.
+func noticeViolations(f *trial.Fleet, begin time.Time) []string {
+	var out []string
+	for n, srv := range f.Servers {
+		for _, v := range srv.Notices().Violations(nil) {
+			out = append(out, fmt.Sprintf("%s got %d requests of %s, the last at %v, after it told it at %v", n, v.Got, v.VM, v.Last.Sub(begin), v.At.Sub(begin)))
+		}
+	}
+	return out
+}
+
 // falseReplies returns a line for each request that may run once and ran twice, for each that
 // ran although its caller was told that it had not, and for each of which the caller was told
 // that it crashes servers.
