dispatch: a lost response is not told as 'not run' because of a later attempt

Cause: the failure of the latest attempt replaced that of an earlier one; only a refusal by the pool's home kept an unknown outcome. Class: a later fact overwrites an earlier, stronger one. Looked for elsewhere: runs at most once end at the first unknown outcome; the keyed path settles by the store's row; hedges count all attempts. Only the sequence of attempts of a read had it. TestLostResponseIsNotToldAsNotRun failed first (notRun instead of unknown).

--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -73,5 +73,11 @@
 	ClaimConflict bool
 }
 
-// setFailure records the failure that the caller gets.
-func (r *Result) setFailure(f *outcome.Failure) { r.Failure = f }
+// setFailure records the failure that the caller gets. Once an attempt may have run, no later
+// one makes it true that the request has not.
+func (r *Result) setFailure(f *outcome.Failure) {
+	if r.Failure != nil && r.Failure.Outcome() != outcome.NotRun && f.Outcome() == outcome.NotRun {
+		return
+	}
+	r.Failure = f
+}
--- a/pkg/dispatch/run_test.go
+++ b/pkg/dispatch/run_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"laburnumpick.org/pkg/backend"
+	"laburnumpick.org/pkg/egress"
 	"laburnumpick.org/pkg/notice"
 	"laburnumpick.org/pkg/outcome"
 	"laburnumpick.org/pkg/pool"
@@ -59,6 +60,23 @@
 	assert.Equal(t, r.res.Server, site.ServerName("erring"))
 }
 
+// TestLostResponseIsNotToldAsNotRun guards against a caller that is told that its request has not
+// run, since a later attempt was not sent or was refused, although an earlier one may have run.
+func TestLostResponseIsNotToldAsNotRun(t *testing.T) {
+	lost := &attempt{err: backend.NewError(backend.NoResponse, errors.New("connection reset"))}
+	unreached := &attempt{err: backend.NewConnectError(egress.ErrUnreachable)}
+	unreached.grant.Server.Name = "other"
+	refused := &attempt{refusal: pool.Shed}
+	for _, later := range []*attempt{unreached, refused} {
+		r := &hedgedRequest{res: &Result{}}
+		assert.Assert(t, r.handleFinished(lost) == nil)
+		assert.Assert(t, r.handleFinished(later) == nil)
+		assert.Equal(t, r.res.Failure.Outcome(), outcome.Unknown, "%v", r.res.Failure)
+		recordRefusal(context.Background(), r.res, &pool.Refused{Kind: outcome.NoServer})
+		assert.Equal(t, r.res.Failure.Outcome(), outcome.Unknown, "%v", r.res.Failure)
+	}
+}
+
 // TestWithheldRequests guards against a request that is written although its server has told
 // this VM that it leaves or wants none, or although its deadline has passed while the process
 // was paused.
