egress: a paused VM does not carry a request whose sender has gone

What callers could see: a request that ran seconds after its deadline, and after its caller had been told that the outcome is unknown. Cause: the time that a call leaves counts from when it is read. A VM that was paused reads call and end of the connection at the same moment, and with an open connection to the server it wrote the request before net/http had noticed that end. Class: a paused process acts on a permission that has run out. Looked for elsewhere: grants, claims and notices are checked right before the first byte already (TestWithheldRequests, TestHolderPaused).

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -82,14 +82,15 @@
 // isReusable reports whether an idle connection is open and has nothing to read. A
 // connection with unexpected bytes must not be reused, because they belong to no
 // request.
-func (c *conn) isReusable() bool {
-	if c.r.Buffered() > 0 {
-		return false
-	}
-	if p, ok := c.nc.(peeker); ok {
+func (c *conn) isReusable() bool { return c.r.Buffered() == 0 && IsQuiet(c.nc) }
+
+// IsQuiet reports whether a connection is open as far as is known, and has nothing to read. It
+// reads nothing.
+func IsQuiet(nc net.Conn) bool {
+	if p, ok := nc.(peeker); ok {
 		return !p.Readable()
 	}
-	sc, ok := c.nc.(syscall.Conn)
+	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -98,11 +99,11 @@
 		return false
 	}
 	wouldBlock := false
-	err = raw.Read(func(fd uintptr) bool {
+	// Control, unlike Read, does not wait for a goroutine that reads from the connection.
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		wouldBlock = e == syscall.EAGAIN
-		return true
 	})
 	return err == nil && wouldBlock
 }
--- a/pkg/daemon/server.go
+++ b/pkg/daemon/server.go
@@ -42,6 +42,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerSlack * set.Limits.HeaderBytes,
 		ErrorLog:          klog.NewStandardLogger("INFO"),
+		ConnContext:       egress.WithConn,
 	}
 	return s
 }
--- a/pkg/egress/carry.go
+++ b/pkg/egress/carry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -163,12 +164,27 @@
 	return h.cfg.Sender.LinkDown(ctx, c.target, start)
 }
 
-// checkBeforeWrite returns an error if a request must not be written any more. This process may
-// have been paused since the call came.
+// connKey is the context key of a call's connection.
+type connKey struct{}
+
+// WithConn returns the context of the calls of a connection, for http.Server.ConnContext.
+func WithConn(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+// errCallerGone means that the VM that asked has closed the connection.
+var errCallerGone = errors.New("the VM that asked has gone")
+
+// checkBeforeWrite returns an error if a request must not be written any more. While this process
+// was paused, the VM that asked may have given up; the time that the call leaves does not show
+// how long the call has waited to be read.
 func (h *Handler) checkBeforeWrite(ctx context.Context, now time.Time, c *call) error {
 	if err := ctx.Err(); err != nil {
 		return err // The VM that asked has gone, or the time is over.
 	}
+	if nc, ok := ctx.Value(connKey{}).(net.Conn); ok && !backend.IsQuiet(nc) {
+		return errCallerGone
+	}
 	if deadline, ok := ctx.Deadline(); ok && !now.Before(deadline) {
 		return context.DeadlineExceeded
 	}
--- a/pkg/trial/egress_test.go
+++ b/pkg/trial/egress_test.go
@@ -157,9 +157,8 @@
 	})
 }
 
-// egressCall sends a call between VMs to an address, with changes to its headers, and returns
-// the status and the result of the reply.
-func egressCall(t *testing.T, f *trial.Fleet, address, path string, change func(h http.Header)) (int, string) {
+// newEgressCall returns a call between VMs to an address, with changes to its headers.
+func newEgressCall(t *testing.T, f *trial.Fleet, address, path string, change func(h http.Header)) *http.Request {
 	t.Helper()
 	req, err := http.NewRequestWithContext(bg, http.MethodPost, "http://"+address+path, nil)
 	assert.NilError(t, err)
@@ -179,12 +178,38 @@
 	if change != nil {
 		change(h)
 	}
-	resp, err := (&http.Client{Transport: f.CallerTransport()}).Do(req)
+	return req
+}
+
+// egressCall sends a call between VMs to an address, with changes to its headers, and returns
+// the status and the result of the reply.
+func egressCall(t *testing.T, f *trial.Fleet, address, path string, change func(h http.Header)) (int, string) {
+	t.Helper()
+	resp, err := (&http.Client{Transport: f.CallerTransport()}).Do(newEgressCall(t, f, address, path, change))
 	assert.NilError(t, err)
 	_ = resp.Body.Close()
 	return resp.StatusCode, resp.Header.Get("Laburnumpick-Egress-Result")
 }
 
+// TestPausedVMDoesNotCarryWhatNobodyWaitsFor guards against a VM that was paused, and then sends
+// to a server a request whose time is over and whose sender has gone.
+func TestPausedVMDoesNotCarryWhatNobodyWaitsFor(t *testing.T) {
+	withFleet(t, "tt-north", cutOffFleet(), func(t *testing.T, f *trial.Fleet) {
+		address := f.VMs[0].Daemon.Addresses().VMs
+		_, result := egressCall(t, f, address, egress.PathAttempt, nil) // Leaves a connection to the server open.
+		assert.Equal(t, result, string(egress.Answered))
+		c, err := f.Net.DialFrom(bg, "caller", address)
+		assert.NilError(t, err)
+		f.Net.Pause(f.VMs[0].Name, 3*time.Second)
+		call := newEgressCall(t, f, address, egress.PathAttempt, func(h http.Header) { h.Set("Laburnumpick-Egress-Left-Ms", "500") })
+		assert.NilError(t, call.Write(c))
+		time.Sleep(600 * time.Millisecond)
+		assert.NilError(t, c.Close())
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, f.RunCounts()["called"], 1)
+	})
+}
+
 // TestVMsCarryOnlyForTheFleet guards against a VM that connects to addresses which are no
 // servers, that serves callers without the fleet's token, or that a malformed call brings down.
 func TestVMsCarryOnlyForTheFleet(t *testing.T) {
