caller: a planned stop answers the requests that have arrived on idle connections

What callers saw: a request on a kept connection, sent as the VM stopped, whose connection was closed without a response. Cause, three ways into one fault (the connection is judged idle by what the process has read, not by what has arrived): the read deadline that ends an idle connection hides bytes that the socket holds already; a first byte that was just seen was not marked yet; a request that had been read whole was for a moment neither 'being read' nor in the queue. Change: a connection that is closed as idle looks once more for what has arrived (5 ms), and reading ends only as the request enters the queue. Ruled out: closing without half-closing first, which resets a response that is still on its way. Not covered: connections that the kernel has accepted and the process has not, when the listener closes; the accept loop has to lag for that.

--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -238,6 +238,37 @@
 	})
 }
 
+// TestShutdownAnswersWhatHasArrived guards against requests that had arrived on idle connections
+// at the moment of a planned stop, and that were cut off without a response.
+func TestShutdownAnswersWhatHasArrived(t *testing.T) {
+	withServer(t, func(f *fixture) {
+		const conns = 100
+		var open [conns]net.Conn
+		var readers [conns]*bufio.Reader
+		for i := range conns {
+			open[i], readers[i] = f.dial()
+			f.send(open[i], get("/0ms/first"))
+			f.readResponse(readers[i])
+		}
+		time.Sleep(100 * time.Millisecond)
+		for i := range conns {
+			f.send(open[i], post("/0ms/arrived", "x"))
+		}
+		time.Sleep(time.Millisecond) // The delay of the network.
+		go func() { _ = f.s.Shutdown(context.Background()) }()
+		unanswered := 0
+		for i := range conns {
+			resp, err := http.ReadResponse(readers[i], nil)
+			if err != nil {
+				unanswered++
+				continue
+			}
+			assert.NilError(t, resp.Body.Close())
+		}
+		assert.Equal(t, unanswered, 0, "of %d requests", conns)
+	})
+}
+
 func TestIdleConnectionsLastUntilTimeout(t *testing.T) {
 	withServer(t, func(f *fixture) {
 		c, r := f.dial()
--- a/pkg/caller/conn.go
+++ b/pkg/caller/conn.go
@@ -45,8 +45,9 @@
 	mu            sync.Mutex
 	exchangeEnded *sync.Cond  // Signaled when an exchange is removed from the queue.
 	queue         []*exchange // Accepted and not yet answered, in the order of their requests.
-	reading       bool        // A request has been read in part.
+	reading       bool        // A request has been read, at least in part, and is not in the queue.
 	closing       bool        // No further request is accepted.
+	closedIdle    bool        // It is closing only since it was idle; a request that had arrived by then is accepted.
 	broken        bool        // A response was truncated.
 }
 
@@ -97,9 +98,6 @@
 		return nil, at, err
 	}
 	req.RemoteAddr = c.nc.RemoteAddr().String()
-	c.mu.Lock()
-	c.reading = false
-	c.mu.Unlock()
 	return req, at, nil
 }
 
@@ -114,19 +112,23 @@
 	c.mu.Unlock()
 	for {
 		_, err := c.r.Peek(1)
-		c.mu.Lock()
 		if err == nil {
-			c.reading = true
-			c.mu.Unlock()
+			c.beginReading()
 			return nil
 		}
+		c.mu.Lock()
 		busy, closing := len(c.queue) > 0, c.closing
 		if errors.Is(err, os.ErrDeadlineExceeded) && busy && !closing {
 			c.setIdleDeadline()
 			c.mu.Unlock()
 			continue
 		}
+		closedIdle := c.closedIdle
 		c.mu.Unlock()
+		if closedIdle && c.hasInput() {
+			c.beginReading()
+			return nil
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return errIdle
 		}
@@ -134,6 +136,28 @@
 	}
 }
 
+// lastLook is how long a connection that is closed as idle is read for what has arrived.
+const lastLook = 5 * time.Millisecond
+
+// hasInput reports whether a byte has arrived on a connection whose read deadline was made to
+// expire. Such a deadline hides what the network has already delivered.
+func (c *conn) hasInput() bool {
+	_ = c.nc.SetReadDeadline(time.Now().Add(lastLook)) // A broken connection is noticed by the read.
+	_, err := c.r.Peek(1)
+	return err == nil
+}
+
+// beginReading records that a request has begun to arrive. A connection that was closed as idle
+// meanwhile accepts it.
+func (c *conn) beginReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+	if c.closedIdle {
+		c.closing, c.closedIdle = false, false
+	}
+}
+
 // setIdleDeadline sets the deadline for the first byte of the next request: the
 // idle timeout, none while requests are unanswered, or an expired one if the
 // connection is closing. The caller must hold c.mu.
@@ -167,6 +191,7 @@
 		return nil
 	}
 	x := newExchange(c, req, at)
+	c.reading = false // Together with the next line: the connection must not look idle in between.
 	c.queue = append(c.queue, x)
 	if len(c.queue) == 1 {
 		close(x.atHead)
@@ -187,7 +212,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.queue) == 0 && !c.reading {
-		c.closing = true
+		c.closing, c.closedIdle = true, true
 		_ = c.nc.SetReadDeadline(expiredDeadline)
 	}
 }
