--- a/pkg/backend/backend_test.go
+++ b/pkg/backend/backend_test.go
@@ -176,6 +176,29 @@
 	})
 }
 
+// TestConnectTimeoutIsNoDeadline guards against a connection that could not be opened in time and
+// that is told as a deadline that has passed, with most of the request's time left.
+func TestConnectTimeoutIsNoDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := standin.NewNetwork(nil)
+		n.Partition("server", "client", standin.CutHangs)
+		pool := backend.NewConnPool("server:80", func(ctx context.Context, a string) (net.Conn, error) {
+			return n.DialFrom(ctx, "client", a)
+		})
+		var result backend.ConnectResult
+		_, err := send(pool, newRequest("1", "GET", ""), backend.Options{
+			ConnectTimeout: 50 * time.Millisecond, OnConnect: func(r backend.ConnectResult) { result = r },
+		})
+		assert.Assert(t, err.Connect && err.Stage == backend.NotSent)
+		assert.Assert(t, !errors.Is(err, context.DeadlineExceeded), "%v", err)
+		assert.Equal(t, result, backend.ConnectTimedOut)
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		_, sendErr := pool.Send(ctx, newRequest("2", "GET", ""), backend.Options{ConnectTimeout: 50 * time.Millisecond})
+		assert.ErrorIs(t, sendErr, context.DeadlineExceeded)
+	})
+}
+
 // echo responds to each request with the request's ID.
 func echo(p *peer, nc net.Conn, r *bufio.Reader) {
 	defer func() { _ = nc.Close() }()
--- a/pkg/dispatch/hedge.go
+++ b/pkg/dispatch/hedge.go
@@ -7,6 +7,7 @@
 
 	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/outcome"
+	"laburnumpick.org/pkg/roster"
 	"laburnumpick.org/pkg/site"
 )
 
@@ -28,6 +29,7 @@
 	// if no other server gives a better response.
 	fallback       *backend.Response
 	fallbackServer site.ServerName
+	fallbackVia    roster.VMName
 }
 
 // maxConcurrentAttempts is how many servers may run one request at a time.
@@ -124,7 +126,7 @@
 		r.res.Failure = nil
 		return t.response
 	}
-	r.fallback, r.fallbackServer = t.response, t.grant.Server.Name
+	r.fallback, r.fallbackServer, r.fallbackVia = t.response, t.grant.Server.Name, t.via
 	r.res.setFailure(outcome.New(outcome.InvalidResponse, "server %s responded with status %d", t.grant.Server.Name, t.response.Status))
 	return nil
 }
@@ -142,7 +144,7 @@
 // is possible.
 func (r *hedgedRequest) finalResponse() *backend.Response {
 	if r.fallback != nil {
-		r.res.Failure, r.res.Server = nil, r.fallbackServer
+		r.res.Failure, r.res.Server, r.res.Via = nil, r.fallbackServer, r.fallbackVia
 	}
 	return r.fallback
 }
--- a/pkg/dispatch/job.go
+++ b/pkg/dispatch/job.go
@@ -13,6 +13,7 @@
 	"laburnumpick.org/pkg/outcome"
 	"laburnumpick.org/pkg/pool"
 	"laburnumpick.org/pkg/quarantine"
+	"laburnumpick.org/pkg/roster"
 	"laburnumpick.org/pkg/site"
 	"laburnumpick.org/pkg/store"
 )
@@ -57,6 +58,7 @@
 type Result struct {
 	Failure      *outcome.Failure // Nil if there is a response.
 	Server       site.ServerName  // The server that responded, or else the server of the last attempt.
+	Via          roster.VMName    // The VM that carried the last attempt; empty if this VM sent it itself.
 	Attempts     int              // Attempts in which part of the request was sent.
 	SlotRequests int              // Requests for a slot, including refused ones.
 	// ExcludedServers holds the servers that later attempts must not use: those whose
--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -159,7 +159,7 @@
 	if t.err == nil || t.err.Stage != backend.NotSent {
 		res.Attempts++
 	}
-	res.Server = t.grant.Server.Name
+	res.Server, res.Via = t.grant.Server.Name, t.via
 	if t.response == nil || t.response.Status >= http.StatusInternalServerError {
 		res.ExcludedServers = append(slices.Clip(res.ExcludedServers), t.grant.Server.Name)
 	}
@@ -427,7 +427,7 @@
 	case t.err.Stage == backend.NotSent && errors.Is(t.err, context.Canceled):
 		return outcome.New(outcome.Canceled, "the caller went away")
 	case errors.Is(t.err, egress.ErrNoPath):
-		return outcome.New(outcome.NoServer, "%v", t.err).WithRetryAfter(noPathRetryAfter)
+		return outcome.New(outcome.NoServer, "%v", egress.ErrNoPath).WithRetryAfter(noPathRetryAfter)
 	case t.err.Stage == backend.NotSent && errors.Is(t.err, context.DeadlineExceeded):
 		return outcome.New(outcome.DeadlinePassed, "the deadline passed before the request was sent")
 	case t.err.Stage == backend.NotSent:
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -237,12 +237,13 @@
 func (x *exchange) logOutcome(now time.Time, r *http.Request, f *outcome.Failure) {
 	st := x.entry.cfg.Replica.State()
 	var server site.ServerName
+	var via roster.VMName
 	attempts := 0
 	if x.result != nil {
-		server, attempts = x.result.Server, x.result.Attempts
+		server, via, attempts = x.result.Server, x.result.Via, x.result.Attempts
 	}
 	fields := []any{
-		"id", x.id, "rule", x.match.Rule, "service", x.match.Service, "server", server, "tries", attempts,
+		"id", x.id, "rule", x.match.Rule, "service", x.match.Service, "server", server, "via", via, "tries", attempts,
 		"took", now.Sub(x.receivedAt).Round(time.Millisecond), "config", st.Version,
 	}
 	if f == nil && x.status < http.StatusInternalServerError {
--- a/pkg/record/read.go
+++ b/pkg/record/read.go
@@ -146,9 +146,9 @@
 	case "":
 		return "no line of the entry VM was found: the VM was lost, or the request had not completed"
 	case "entry: answered":
-		return fmt.Sprintf("answered by server %s with status %s after %s", entryLine.Get("server"), entryLine.Get("status"), entryLine.Get("took"))
+		return fmt.Sprintf("answered by server %s with status %s after %s%s", entryLine.Get("server"), entryLine.Get("status"), entryLine.Get("took"), pathOf(entryLine))
 	case "entry: server answered with a failure":
-		return fmt.Sprintf("server %s itself answered with status %s; %s servers were tried", entryLine.Get("server"), entryLine.Get("status"), entryLine.Get("tries"))
+		return fmt.Sprintf("server %s itself answered with status %s; %s servers were tried%s", entryLine.Get("server"), entryLine.Get("status"), entryLine.Get("tries"), pathOf(entryLine))
 	}
 	attempt, refusal := lastWithPrefix(requestLines, "dispatch: try failed"), lastWithPrefix(requestLines, "home: refused")
 	switch {
@@ -161,13 +161,22 @@
 			refusal.Get("pool"), refusal.Get("detail"), refusal.Get("inUse"), refusal.Get("slots"), refusal.Get("queued"),
 			refusal.Get("usable"), refusal.Get("servers"))
 	case attempt.Message != "":
-		return fmt.Sprintf("%s: server %s, %s after %s: %s", entryLine.Get("outcome"), attempt.Get("server"), attempt.Get("stage"),
-			attempt.Get("took"), attempt.Get("reason"))
+		return fmt.Sprintf("%s: server %s, %s after %s%s: %s", entryLine.Get("outcome"), attempt.Get("server"), attempt.Get("stage"),
+			attempt.Get("took"), pathOf(attempt), attempt.Get("reason"))
 	default:
 		return fmt.Sprintf("%s: %s: %s", entryLine.Get("outcome"), entryLine.Get("kind"), entryLine.Get("detail"))
 	}
 }
 
+// pathOf returns which VM carried an attempt, if the VM that received the request could not reach
+// the server itself.
+func pathOf(l Line) string {
+	if via := l.Get("via"); via != "" {
+		return ", through VM " + via + ", since this VM's own link to the server was down"
+	}
+	return ""
+}
+
 // lastWithPrefix returns the last line whose message has the prefix, or the zero
 // Line.
 func lastWithPrefix(lines []Line, prefix string) Line {
--- a/pkg/record/read_test.go
+++ b/pkg/record/read_test.go
@@ -59,3 +59,19 @@
 	}
 	golden.Assert(t, b.String(), "limits.golden")
 }
+
+// TestExplainNamesTheVMThatCarried guards against an explanation that hides which VM sent a
+// request to its server, or that no VM could.
+func TestExplainNamesTheVMThatCarried(t *testing.T) {
+	f, err := os.Open("testdata/egress.log")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, f.Close()) }()
+	lines, err := record.Read(f)
+	assert.NilError(t, err)
+	var b strings.Builder
+	for _, subject := range []string{"74e93123-609a-40df-b71e-b2e9fb1be58a", "6f3d6659-3039-4783-bf3a-bb00a0ca8cb5"} {
+		_, err := record.Explain(lines, subject).WriteTo(&b)
+		assert.NilError(t, err)
+	}
+	golden.Assert(t, b.String(), "egress.golden")
+}
--- a/pkg/trial/egress_test.go
+++ b/pkg/trial/egress_test.go
@@ -191,6 +191,34 @@
 	return resp.StatusCode, resp.Header.Get("Laburnumpick-Egress-Result")
 }
 
+// TestVMThatCarriesKeepsToWhatServersTellIt guards against requests that a server has told a VM
+// not to send, and that the VM sends for another one which the server has told nothing.
+func TestVMThatCarriesKeepsToWhatServersTellIt(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults standin.Faults
+	}{
+		{"pauses", standin.Faults{RetryAfter: "2", RetryAfterShare: 1}},
+		{"leaves", standin.Faults{Leaving: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, "tt-north", cutOffFleet(), func(t *testing.T, f *trial.Fleet) {
+				f.Servers["packshelf-1"].SetFaults(c.faults)
+				address := f.VMs[0].Daemon.Addresses().VMs
+				_, first := egressCall(t, f, address, egress.PathAttempt, nil)
+				assert.Equal(t, first, string(egress.Answered))
+				for range 5 {
+					time.Sleep(200 * time.Millisecond)
+					_, later := egressCall(t, f, address, egress.PathAttempt, nil)
+					assert.Equal(t, later, string(egress.Withheld))
+				}
+				_, other := egressCall(t, f, f.VMs[1].Daemon.Addresses().VMs, egress.PathAttempt, nil)
+				assert.Equal(t, other, string(egress.Answered), "another VM may send")
+			})
+		})
+	}
+}
+
 // TestPausedVMDoesNotCarryWhatNobodyWaitsFor guards against a VM that was paused, and then sends
 // to a server a request whose time is over and whose sender has gone.
 func TestPausedVMDoesNotCarryWhatNobodyWaitsFor(t *testing.T) {
