soak: VMs are cut off from all servers, in three ways

Question: do the promises hold with real processes and sockets when VMs lose their links to servers? The loopback links find the process that owns a connection in the kernel's tables, since all VMs have one address. A cut that hangs lets the connection be accepted and carries nothing, which a proxy on loopback cannot do otherwise; the trial fleet has connections that do not open at all.

--- a/cmd/laburnumbench/soak/link.go
+++ b/cmd/laburnumbench/soak/link.go
@@ -31,9 +31,52 @@
 
 	mu    sync.Mutex
 	fault LinkFault
+	cuts  map[*vm]CutMode // VMs that are cut off.
 	conns map[*linkConn]struct{}
 }
 
+// CutMode is how connections of a VM that is cut off fail.
+type CutMode string
+
+// Modes of a cut.
+const (
+	CutHangs      CutMode = "hangs"      // Nothing arrives.
+	CutResets     CutMode = "resets"     // Open connections are reset, and new ones too.
+	CutRefusesNew CutMode = "refusesNew" // Open connections live on; new ones are reset.
+)
+
+// cut cuts a VM off, or restores its link if the mode is empty. Connections that hung stay dead.
+func (k *link) cut(v *vm, m CutMode) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if m == "" {
+		delete(k.cuts, v)
+		return
+	}
+	k.cuts[v] = m
+	for p := range k.conns {
+		if m == CutRefusesNew || !v.ownsConn(portOf(p.client.RemoteAddr())) {
+			continue
+		}
+		p.blackholed = true
+		if m == CutResets {
+			p.reset()
+		}
+	}
+}
+
+// cutOf returns how a new connection is cut off, or "".
+func (k *link) cutOf(client net.Conn) CutMode {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for v, m := range k.cuts {
+		if v.ownsConn(portOf(client.RemoteAddr())) {
+			return m
+		}
+	}
+	return ""
+}
+
 // linkConn is a proxied connection.
 type linkConn struct {
 	client, server net.Conn
@@ -46,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &link{listen: l, target: target, conns: make(map[*linkConn]struct{})}
+	k := &link{listen: l, target: target, cuts: make(map[*vm]CutMode), conns: make(map[*linkConn]struct{})}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -100,8 +143,10 @@
 func (k *link) proxy(client net.Conn) {
 	server, err := net.Dial("tcp", k.target)
 	p := &linkConn{client: client, server: server}
+	cut := k.cutOf(client)
+	p.blackholed = cut == CutHangs
 	k.mu.Lock()
-	refused := k.fault == LinkRefused
+	refused := k.fault == LinkRefused || cut == CutResets || cut == CutRefusesNew
 	if err == nil && !refused {
 		k.conns[p] = struct{}{}
 	}
--- a/cmd/laburnumbench/soak/schedule.go
+++ b/cmd/laburnumbench/soak/schedule.go
@@ -15,6 +15,7 @@
 	VMKill          EventKind = "vm killed"
 	VMPause         EventKind = "vm paused"
 	VMReload        EventKind = "vm reloads"
+	VMCutOff        EventKind = "vm cut off from all servers"
 	ServerLinkFault EventKind = "link"
 	StoreFault      EventKind = "store"
 	StoreLinkFault  EventKind = "store link of a vm"
@@ -26,7 +27,7 @@
 
 // weightedKinds lists each kind as many times as its relative frequency.
 var weightedKinds = []EventKind{
-	VMTerminate, VMTerminate, VMKill, VMPause, VMReload, ServerLinkFault, ServerLinkFault, StoreFault, StoreFault, StoreLinkFault,
+	VMTerminate, VMTerminate, VMKill, VMPause, VMReload, VMCutOff, VMCutOff, ServerLinkFault, ServerLinkFault, StoreFault, StoreFault, StoreLinkFault,
 	ServerFault, ServerFault, ServerFault, ServerCrash, ServerDrain, ConfigChange, ConfigChange,
 }
 
--- a/cmd/laburnumbench/soak/soak.go
+++ b/cmd/laburnumbench/soak/soak.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -248,6 +249,8 @@
 		err := v.writeSettings(e.Variant % 2)
 		v.signal(syscall.SIGHUP)
 		return func() error { return err }
+	case VMCutOff:
+		return s.cutOff(v, []CutMode{CutHangs, CutResets, CutRefusesNew}[e.Variant%3])
 	case ServerLinkFault:
 		k := s.serverLinks[index]
 		k.setFault([]LinkFault{LinkDelayed, LinkReset, LinkOneWay, LinkBlackholed, LinkRefused}[e.Variant%5])
@@ -287,6 +290,20 @@
 	return noUndo
 }
 
+// cutOff cuts a VM off from all servers. The returned function restores its links.
+func (s *soak) cutOff(v *vm, m CutMode) func() error {
+	links := slices.Clone(s.serverLinks)
+	for _, k := range links {
+		k.cut(v, m)
+	}
+	return func() error {
+		for _, k := range links {
+			k.cut(v, "")
+		}
+		return nil
+	}
+}
+
 // injectStoreFault sets the fault of the store that the event selects. The
 // returned function clears it.
 func (s *soak) injectStoreFault(e Event) func() error {
--- a/cmd/laburnumbench/soak/vm.go
+++ b/cmd/laburnumbench/soak/vm.go
@@ -143,6 +143,14 @@
 	}
 }
 
+// ownsConn reports whether the VM's process has the client end of a connection from a port.
+func (v *vm) ownsConn(port int) bool {
+	v.mu.Lock()
+	cmd := v.cmd
+	v.mu.Unlock()
+	return cmd != nil && cmd.Process != nil && ownsConn(cmd.Process.Pid, port)
+}
+
 // markDisrupted records that a kill or pause may cost requests their responses for
 // the given duration from now.
 func (v *vm) markDisrupted(d time.Duration) {
