fleet: a paused home grants nothing to VMs that have given up

Class: a paused process acts on a permission that has run out; found again while mending the same in egress. Counter fleet_givenUp. The look at the connection of a call moved to pkg/backend, for both users.

--- a/pkg/daemon/server.go
+++ b/pkg/daemon/server.go
@@ -11,6 +11,7 @@
 	"github.com/thejerf/suture/v4"
 	"k8s.io/klog/v2"
 
+	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/caller"
 	"laburnumpick.org/pkg/control"
 	"laburnumpick.org/pkg/egress"
@@ -42,7 +43,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerSlack * set.Limits.HeaderBytes,
 		ErrorLog:          klog.NewStandardLogger("INFO"),
-		ConnContext:       egress.WithConn,
+		ConnContext:       backend.WithConn,
 	}
 	return s
 }
--- a/pkg/egress/carry.go
+++ b/pkg/egress/carry.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -164,14 +163,6 @@
 	return h.cfg.Sender.LinkDown(ctx, c.target, start)
 }
 
-// connKey is the context key of a call's connection.
-type connKey struct{}
-
-// WithConn returns the context of the calls of a connection, for http.Server.ConnContext.
-func WithConn(ctx context.Context, nc net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, nc)
-}
-
 // errCallerGone means that the VM that asked has closed the connection.
 var errCallerGone = errors.New("the VM that asked has gone")
 
@@ -179,10 +170,7 @@
 // was paused, the VM that asked may have given up; the time that the call leaves does not show
 // how long the call has waited to be read.
 func (h *Handler) checkBeforeWrite(ctx context.Context, now time.Time, c *call) error {
-	if err := ctx.Err(); err != nil {
-		return err // The VM that asked has gone, or the time is over.
-	}
-	if nc, ok := ctx.Value(connKey{}).(net.Conn); ok && !backend.IsQuiet(nc) {
+	if backend.IsCallerGone(ctx) {
 		return errCallerGone
 	}
 	if deadline, ok := ctx.Deadline(); ok && !now.Before(deadline) {
--- a/pkg/fleet/homes.go
+++ b/pkg/fleet/homes.go
@@ -6,6 +6,9 @@
 	"slices"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
+	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/dispatch"
 	"laburnumpick.org/pkg/fleetapi"
 	"laburnumpick.org/pkg/home"
@@ -268,8 +271,13 @@
 	return &fleetapi.ReportLimitAnswer{}, nil
 }
 
-// Acquire implements fleetapi.Fleet.
+// Acquire implements fleetapi.Fleet. If this VM was paused while the call waited, the VM that asked
+// has given up; nobody would release a slot that it were granted.
 func (s server) Acquire(ctx context.Context, req *fleetapi.AcquireRequest) (*fleetapi.AcquireAnswer, error) {
+	if backend.IsCallerGone(ctx) {
+		s.node.cfg.Scope.Counter("givenUp").Inc(1)
+		return nil, twirp.NewError(twirp.Canceled, "the VM that asked for a slot has gone")
+	}
 	return fleetapi.FromReply(s.node.cfg.Home.Acquire(ctx, fleetapi.ToSlotRequest(req))), nil
 }
 
--- a/pkg/trial/floor_test.go
+++ b/pkg/trial/floor_test.go
@@ -1,6 +1,7 @@
 package trial_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -14,6 +15,12 @@
 	"laburnumpick.org/pkg/trial"
 )
 
+// floorSeeds is the number of seeds of each case, and floorFirst the first of them.
+var (
+	floorSeeds = flag.Uint64("floor.seeds", 2, "seeds of each trial of the floor")
+	floorFirst = flag.Uint64("floor.first", 0, "first seed of the trials of the floor")
+)
+
 // streak is a time in which a server failed.
 type streak struct{ from, to time.Time }
 
@@ -183,7 +190,7 @@
 
 func runFloorCase(t *testing.T, c floorCase) {
 	t.Helper()
-	for seed := range uint64(2) {
+	for seed := *floorFirst; seed < *floorFirst+*floorSeeds; seed++ {
 		t.Run(fmt.Sprintf("%s, seed %d", c.name, seed), func(t *testing.T) {
 			withFleet(t, "tt-north", trial.Options{VMs: 8, Seed: seed, StoreDelay: time.Millisecond}, func(t *testing.T, f *trial.Fleet) {
 				checkFloorHolds(t, f, c, seed)
