--- a/pkg/egress/carry.go
+++ b/pkg/egress/carry.go
@@ -43,16 +43,16 @@
 // servers that this VM knows, and passes nothing on to a third VM. Its caller must make sure
 // that only VMs of the fleet reach it.
 type Handler struct {
-	cfg   HandlerConfig
-	tasks chan struct{} // Holds a value for each call that runs.
+	cfg     HandlerConfig
+	running chan struct{} // Holds a value for each call that runs.
 }
 
-// maxTasks bounds the capacity of Handler.tasks.
-const maxTasks = 1 << 16
+// maxRunning bounds the capacity of Handler.running.
+const maxRunning = 1 << 16
 
 // NewHandler returns a handler.
 func NewHandler(cfg HandlerConfig) *Handler {
-	return &Handler{cfg: cfg, tasks: make(chan struct{}, maxTasks)}
+	return &Handler{cfg: cfg, running: make(chan struct{}, maxRunning)}
 }
 
 // ServeHTTP implements http.Handler.
@@ -63,8 +63,9 @@
 		h.refuse(w, r, c, result, detail)
 		return
 	}
-	defer func() { <-h.tasks }()
-	h.cfg.Sender.cfg.Scope.Gauge("carrying").Update(float64(len(h.tasks)))
+	h.countRunning()
+	defer h.countRunning()
+	defer func() { <-h.running }()
 	ctx, cancel := context.WithTimeout(r.Context(), c.left)
 	defer cancel()
 	if c.request == nil {
@@ -78,8 +79,13 @@
 	h.run(ctx, w, c, start)
 }
 
+// countRunning publishes the number of calls that run.
+func (h *Handler) countRunning() {
+	h.cfg.Sender.cfg.Scope.Gauge("carrying").Update(float64(len(h.running)))
+}
+
 // admit reads a call and decides whether it may run. If not, it returns the result to reply
-// with. Otherwise the caller must take a value from h.tasks in the end.
+// with. Otherwise the caller must take a value from h.running in the end.
 func (h *Handler) admit(w http.ResponseWriter, r *http.Request) (*call, Result, string) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.cfg.MaxBody))
 	if err != nil {
@@ -97,12 +103,12 @@
 		return c, Unlisted, "this VM knows no such server"
 	case h.cfg.Sender.links.Isolated():
 		return c, CutOff, "this VM is cut off from the backend servers"
-	case len(h.tasks) >= min(h.cfg.MaxAtOnce(), maxTasks-1):
+	case len(h.running) >= min(h.cfg.MaxAtOnce(), maxRunning-1):
 		return c, Busy, ""
 	}
 	c.target.Server = known
 	select {
-	case h.tasks <- struct{}{}:
+	case h.running <- struct{}{}:
 		return c, "", ""
 	default:
 		return c, Busy, ""
@@ -113,8 +119,11 @@
 // server says nothing about this one.
 func (h *Handler) testify(ctx context.Context, c *call, r Result) Result {
 	s := h.cfg.Sender
-	if r == Reached || s.links.Isolated() {
-		return s.ownView(r)
+	if r == Reached {
+		return r
+	}
+	if s.links.Isolated() {
+		return CutOff
 	}
 	others := s.otherTargets(c.target)
 	for _, o := range others {
--- a/pkg/egress/check.go
+++ b/pkg/egress/check.go
@@ -21,7 +21,7 @@
 	// ServerReachedElsewhere means that only another VM reaches the server, so that this VM's
 	// link is down.
 	ServerReachedElsewhere
-	// ServerRefuses means that the server refuses connections from this VM and from others.
+	// ServerRefuses means that the server refuses connections, and has most likely crashed.
 	ServerRefuses
 	// ServerUnreachable means that neither this VM nor others reach the server.
 	ServerUnreachable
@@ -96,6 +96,9 @@
 	return s.classify(time.Now(), vm, resp, err)
 }
 
+// checkTimeout bounds the check of a server by another VM.
+const checkTimeout = 300 * time.Millisecond
+
 // maxReplyBody bounds the body of a reply that holds no server's response, in bytes.
 const maxReplyBody = 4 << 10
 
--- a/pkg/egress/search.go
+++ b/pkg/egress/search.go
@@ -9,6 +9,14 @@
 	"laburnumpick.org/pkg/roster"
 )
 
+// Limits of a search.
+const (
+	// askedAtOnce is the number of VMs that are asked at the same time whether they reach a
+	// server, and askedRounds how often that is done for one attempt.
+	askedAtOnce = 10
+	askedRounds = 2
+)
+
 // search is the search for a VM that reaches a server, for one attempt or check.
 type search struct {
 	sender *Sender
