egress: a request that its own VM must not send is offered to no other

What callers would see: on a VM that is cut off, a request whose server has paused that VM was offered to up to six VMs and then told as a server that no VM reaches, without the pause's Retry-After. Cause: 'another VM could not send it' and 'this VM must not send it' were one result without an error.

--- a/pkg/egress/through.go
+++ b/pkg/egress/through.go
@@ -35,12 +35,10 @@
 		}
 		path = Path{VM: vm.Name, Since: time.Now()}
 		resp, result, err := s.sendVia(ctx, vm, a)
-		switch result {
-		case Answered, NoResponse, InvalidResponse:
+		if result == Answered || err != nil {
 			return resp, path, err
-		default:
-			q.add(result)
 		}
+		q.add(result)
 	}
 	if ctx.Err() != nil {
 		return nil, path, backend.NewConnectError(ctx.Err())
@@ -61,8 +59,8 @@
 	return backend.NewConnectError(fmt.Errorf("%w: %w", err, direct))
 }
 
-// sendVia asks one VM to run an attempt. The error is set if the server may have got bytes of
-// the request.
+// sendVia asks one VM to run an attempt. The error is set if no other VM must be asked: the server
+// may have got bytes of the request, or this VM must not send it any more.
 func (s *Sender) sendVia(ctx context.Context, vm roster.VM, a *Attempt) (*backend.Response, Result, error) {
 	now := time.Now()
 	s.carriers.Begin(vm.Name)
@@ -142,17 +140,27 @@
 	return InvalidResponse
 }
 
-// errorOf returns the error of a call after which the server may have got bytes of the request,
-// or nil.
+// errorOf returns the error of a call after which no other VM must be asked, or nil.
 func (s *Sender) errorOf(result Result, resp *backend.Response, err error) error {
-	if result != NoResponse && result != InvalidResponse {
+	e, failed := errors.AsType[*backend.Error](err)
+	switch {
+	case failed && e.Connect:
 		return nil
-	}
-	if e, ok := errors.AsType[*backend.Error](err); ok {
+	case failed && e.Stage == backend.NotSent:
+		return e
+	case failed:
 		lost := backend.NewError(e.Stage, fmt.Errorf("%w: %w", ErrCarrierLost, e.Unwrap()))
 		lost.Received = e.Received
 		return lost
+	case result == NoResponse, result == InvalidResponse:
+		return replyError(result, resp)
+	default:
+		return nil
 	}
+}
+
+// replyError returns the error of an attempt that another VM sent and that failed.
+func replyError(result Result, resp *backend.Response) error {
 	stage := backend.NoResponse
 	if result == InvalidResponse {
 		stage = backend.InvalidResponse
