control, daemon, standin: what the project had already is used where the change wrote it again

- daemon listed the servers of services by itself, twice: home.Members does, and says which leave.
- standin reset connections in two loops: Network.resetConns.
No behaviour changes else.

--- a/pkg/daemon/egress.go
+++ b/pkg/daemon/egress.go
@@ -9,6 +9,7 @@
 	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/egress"
 	"laburnumpick.org/pkg/fleetapi"
+	"laburnumpick.org/pkg/home"
 	"laburnumpick.org/pkg/journal"
 	"laburnumpick.org/pkg/operator"
 	"laburnumpick.org/pkg/roster"
@@ -56,30 +57,19 @@
 	reg := d.registry.State()
 	var out []egress.Target
 	for _, svc := range d.replica.State().Directory.Services() {
-		for _, s := range svc.Servers {
-			out = append(out, egress.Target{Service: svc.Name, Server: s})
-		}
-		for _, l := range reg.Servers(svc.Name) {
-			out = append(out, egress.Target{Service: svc.Name, Server: l.Server})
+		for _, m := range home.Members(svc, reg) {
+			out = append(out, egress.Target{Service: svc.Name, Server: m.Server})
 		}
 	}
 	return out
 }
 
-// knownServer returns a server of a service, from the registry or the configuration.
+// knownServer returns a server of a service that this VM knows and that is not leaving.
 func (d *Daemon) knownServer(n site.ServiceName, name site.ServerName) (site.Server, bool) {
-	svc := d.replica.State().Directory.Service(n)
-	if svc == nil {
-		return site.Server{}, false
-	}
-	for _, s := range svc.Servers {
-		if s.Name == name {
-			return s, true
+	for _, m := range home.Members(d.replica.State().Directory.Service(n), d.registry.State()) {
+		if m.Server.Name == name {
+			return m.Server, !m.Leaving
 		}
 	}
-	l, ok := d.registry.State().Server(name)
-	if !ok || l.Service != n || l.Draining {
-		return site.Server{}, false
-	}
-	return l.Server, true
+	return site.Server{}, false
 }
--- a/pkg/egress/search.go
+++ b/pkg/egress/search.go
@@ -15,6 +15,9 @@
 	// server, and askedRounds how often that is done for one attempt.
 	askedAtOnce = 10
 	askedRounds = 2
+	// failureMemory is how long a search that found no VM is not repeated. Requests for a server
+	// that has gone would otherwise each ask many VMs.
+	failureMemory = 300 * time.Millisecond
 )
 
 // search is the search for a VM that reaches a server, for one attempt or check.
--- a/pkg/egress/sender.go
+++ b/pkg/egress/sender.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"laburnumpick.org/pkg/backend"
+	"laburnumpick.org/pkg/control"
 	"laburnumpick.org/pkg/journal"
 	"laburnumpick.org/pkg/record"
 	"laburnumpick.org/pkg/roster"
@@ -55,8 +56,8 @@
 	cfg      Config
 	links    *Links
 	carriers *Carriers
-	failures *failures
-	wake     chan struct{} // Signals that links must be checked.
+	failures *control.TTLMap[site.ServerName, error] // Searches that have lately found no VM which reaches a server.
+	wake     chan struct{}                           // Signals that links must be checked.
 
 	directAttempts  tally.Counter
 	throughAttempts tally.Counter
@@ -72,7 +73,7 @@
 	}
 	return &Sender{
 		directAttempts: attempts("direct"), throughAttempts: attempts("through"),
-		cfg: cfg, links: NewLinks(), carriers: NewCarriers(cfg.Self, cfg.Rand), failures: newFailures(), wake: make(chan struct{}, 1),
+		cfg: cfg, links: NewLinks(), carriers: NewCarriers(cfg.Self, cfg.Rand), failures: control.NewTTLMap[site.ServerName, error](failureMemory), wake: make(chan struct{}, 1),
 		pools: make(map[string]*backend.ConnPool),
 	}
 }
--- a/pkg/egress/through.go
+++ b/pkg/egress/through.go
@@ -25,7 +25,7 @@
 // attempt to connect.
 func (s *Sender) sendThrough(ctx context.Context, a *Attempt, direct error) (*backend.Response, Path, error) {
 	path := Path{Since: time.Now()}
-	if err := s.failures.recent(time.Now(), a.Target.Server.Name); err != nil {
+	if err, failed := s.failures.Get(time.Now(), a.Target.Server.Name); failed {
 		return nil, path, backend.NewConnectError(fmt.Errorf("%w: %w", err, direct))
 	}
 	q := &search{sender: s, target: a.Target}
@@ -50,7 +50,7 @@
 // reportNoPath returns the error of an attempt for which no VM was found.
 func (s *Sender) reportNoPath(a *Attempt, q *search, direct error) error {
 	err := q.failure()
-	s.failures.add(time.Now(), a.Target.Server.Name, err)
+	s.failures.Put(time.Now(), a.Target.Server.Name, err)
 	s.cfg.Scope.Counter("noPath").Inc(1)
 	record.Log("egress: no path to server", "id", a.Request.ID, "server", a.Target.Server.Name, "asked", len(q.asked),
 		"unreachable", q.unreachable, "cutOff", s.links.Isolated(), "direct", direct, "err", err)
--- a/pkg/home/home.go
+++ b/pkg/home/home.go
@@ -180,16 +180,16 @@
 	}
 	p.version, p.registryGeneration = st.Version, reg.Generation
 	svc := st.Directory.Service(site.ServiceName(p.ID()))
-	h.reportEvents(now, p.ID(), p.Configure(now, h.settings(svc), members(svc, reg)))
+	h.reportEvents(now, p.ID(), p.Configure(now, h.settings(svc), Members(svc, reg)))
 	if svc != nil && !p.recordRequested && !svc.Registered {
 		p.recordRequested = true
 		h.loadRecord(svc)
 	}
 }
 
-// members returns the servers of a service from the configuration and, if its
+// Members returns the servers of a service from the configuration and, if its
 // servers register themselves, from the registry.
-func members(svc *site.Service, reg *registry.State) []pool.Member {
+func Members(svc *site.Service, reg *registry.State) []pool.Member {
 	if svc == nil {
 		return nil
 	}
--- a/pkg/standin/network.go
+++ b/pkg/standin/network.go
@@ -99,21 +99,28 @@
 func (n *Network) Kill(host string) {
 	n.mu.Lock()
 	var ls []*listener
-	var cs []*Conn
 	for a, l := range n.listeners {
 		if hostOf(a) == host {
 			ls = append(ls, l)
 		}
 	}
+	n.mu.Unlock()
+	for _, l := range ls {
+		_ = l.Close()
+	}
+	n.resetConns(func(l Link) bool { return l.From == host || l.To == host })
+}
+
+// resetConns resets the open connections on the links that accept takes.
+func (n *Network) resetConns(accept func(Link) bool) {
+	n.mu.Lock()
+	var cs []*Conn
 	for c := range n.conns {
-		if c.link.From == host || c.link.To == host {
+		if accept(c.link) {
 			cs = append(cs, c)
 		}
 	}
 	n.mu.Unlock()
-	for _, l := range ls {
-		_ = l.Close()
-	}
 	for _, c := range cs {
 		c.in.reset()
 		c.out.reset()
--- a/pkg/standin/partition.go
+++ b/pkg/standin/partition.go
@@ -25,7 +25,7 @@
 	n.SetCut(Link{a, b}, m == CutHangs)
 	n.SetCut(Link{b, a}, m == CutHangs)
 	if m == CutResets {
-		n.resetBetween(a, b)
+		n.resetConns(func(l Link) bool { return l == Link{a, b} || l == Link{b, a} })
 	}
 }
 
@@ -48,22 +48,6 @@
 	}
 }
 
-// resetBetween resets the open connections between two hosts.
-func (n *Network) resetBetween(a, b string) {
-	n.mu.Lock()
-	var open []*Conn
-	for c := range n.conns {
-		if c.link == (Link{a, b}) || c.link == (Link{b, a}) {
-			open = append(open, c)
-		}
-	}
-	n.mu.Unlock()
-	for _, c := range open {
-		c.in.reset()
-		c.out.reset()
-	}
-}
-
 // dialError returns the error with which the peer, or the network, rejects a new connection,
 // or nil if it does not.
 func (n *Network) dialError(l Link) error {
