dispatch: one switch says what is reported of an attempt without a response

Read again: the report was decided in three places, one of which set it and returned nothing, with the rule as an extra argument. classifyError returns it, as classifyNotSent and classifyNoResponse do. A hedged request keeps the attempt that it falls back on instead of three fields copied from it. No behaviour changes; the mutant whose line moved is caught in its new form.

--- a/_scripts/prove.sh
+++ b/_scripts/prove.sh
@@ -109,7 +109,7 @@
 mutant "idle servers tested from any data centre at once" pool/idle.go 's/limit \+= maxIdleFar/limit += 0/' pool 'TestRequestsStay'
 mutant "no way through another VM" egress/sender.go 's/if !failedToConnect\(ctx, err\) \{/if true {/' trial 'TestVMsCutOff'
 mutant "a server counts as crashed though another VM reaches it" egress/check.go 's/return ServerReachedElsewhere$/return ServerRefuses/' trial 'TestVMsCutOff'
-mutant "a failed link is blamed on the server" dispatch/run.go 's/return t\.isSilent\(\) \&\& d\.cfg\.Egress\.LinkFailed.*/return false/; s/\(timedOut \&\& d\.linkIsDown\(ctx, j, t\)\)/false/' trial 'TestVMsCutOff'
+mutant "a failed link is blamed on the server" dispatch/run.go 's/return t\.isSilent\(\) \&\& d\.cfg\.Egress\.LinkFailed.*/return false/; s/, timedOut \&\& d\.linkIsDown\(ctx, j, t\):/:/' trial 'TestVMsCutOff'
 mutant "a VM that does not reach one server counts as cut off" egress/carry.go 's/^\tif len\(others\) == 0 \{/\tif false {/; s/^\tfor _, o := range others \{/\tfor _, o := range others[:0] {/' trial 'TestVMsCutOff'
 mutant "a request that must not be sent is offered to other VMs" egress/through.go 's/^\t\treturn e$/\t\treturn nil/' egress 'TestRequestThatMustNot'
 mutant "VMs carry to any address" egress/carry.go 's/known\.Address != c\.target\.Server\.Address/false/; s/^\tc\.target\.Server = known$//' trial 'TestVMsCarryOnly'
--- a/pkg/dispatch/hedge.go
+++ b/pkg/dispatch/hedge.go
@@ -7,8 +7,6 @@
 
 	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/outcome"
-	"laburnumpick.org/pkg/roster"
-	"laburnumpick.org/pkg/site"
 )
 
 // hedgedRequest runs a repeatable request on one server after the other. If a
@@ -25,11 +23,9 @@
 	// hedgeDue fires when the latest attempt exceeds its timeout.
 	hedgeDue <-chan time.Time
 	timer    *time.Timer
-	// fallback is a response with a server error, from fallbackServer. It is used
-	// if no other server gives a better response.
-	fallback       *backend.Response
-	fallbackServer site.ServerName
-	fallbackVia    roster.VMName
+	// fallback is an attempt with a response that reports a server error. It is used if no
+	// other server gives a better response.
+	fallback *attempt
 }
 
 // maxConcurrentAttempts is how many servers may run one request at a time.
@@ -126,7 +122,7 @@
 		r.res.Failure = nil
 		return t.response
 	}
-	r.fallback, r.fallbackServer, r.fallbackVia = t.response, t.grant.Server.Name, t.via
+	r.fallback = t
 	r.res.setFailure(outcome.New(outcome.InvalidResponse, "server %s responded with status %d", t.grant.Server.Name, t.response.Status))
 	return nil
 }
@@ -143,10 +139,11 @@
 // finalResponse returns the fallback response, if any, when no further attempt
 // is possible.
 func (r *hedgedRequest) finalResponse() *backend.Response {
-	if r.fallback != nil {
-		r.res.Failure, r.res.Server, r.res.Via = nil, r.fallbackServer, r.fallbackVia
+	if r.fallback == nil {
+		return nil
 	}
-	return r.fallback
+	r.res.Failure, r.res.Server, r.res.Via = nil, r.fallback.grant.Server.Name, r.fallback.via
+	return r.fallback.response
 }
 
 // cancelRunning cancels the attempts that lost the hedge to another server.
--- a/pkg/dispatch/run.go
+++ b/pkg/dispatch/run.go
@@ -274,7 +274,6 @@
 
 // classify sets the report that the pool gets about an attempt.
 func (d *Dispatcher) classify(ctx context.Context, j *Job, t *attempt, took time.Duration) {
-	rule := j.Match.Rule
 	if t.err == nil {
 		d.classifyResponse(j, t, took)
 		return
@@ -284,41 +283,40 @@
 		t.report = pool.Declined{Reason: t.refusal}
 		return
 	}
-	if t.err.Stage == backend.NotSent {
-		d.classifyNotSent(ctx, t, took, rule)
-		return
-	}
+	t.report = d.classifyError(ctx, j, t, took)
+}
+
+// classifyError returns the report about an attempt without a complete response.
+func (d *Dispatcher) classifyError(ctx context.Context, j *Job, t *attempt, took time.Duration) pool.Report {
 	timedOut := t.lostHedge.Load() && took >= t.grant.Timeout
-	if d.isBlameless(t) || (timedOut && d.linkIsDown(ctx, j, t)) {
-		t.report = pool.Dropped{}
-		return
-	}
-	if timedOut {
-		d.avoid(t.grant.Server)
-	}
 	switch {
+	case t.err.Stage == backend.NotSent:
+		return d.classifyNotSent(ctx, j, t, took)
+	case d.isBlameless(t), timedOut && d.linkIsDown(ctx, j, t):
+		return pool.Dropped{}
 	case timedOut:
-		t.report = pool.Failed{Rule: rule, Took: took, Detail: "no response after the attempt timeout; another server responded first"}
+		d.avoid(t.grant.Server)
+		return pool.Failed{Rule: j.Match.Rule, Took: took, Detail: "no response after the attempt timeout; another server responded first"}
 	case ctx.Err() != nil:
-		t.report = pool.Dropped{Rule: rule, Took: took}
+		return pool.Dropped{Rule: j.Match.Rule, Took: took}
 	case t.err.Stage == backend.NoResponse:
-		t.report = d.classifyNoResponse(ctx, j, t, took)
+		return d.classifyNoResponse(ctx, j, t, took)
 	default:
-		t.report = pool.Failed{Rule: rule, Took: took, Detail: t.err.Error()}
+		return pool.Failed{Rule: j.Match.Rule, Took: took, Detail: t.err.Error()}
 	}
 }
 
-// classifyNotSent sets the report about an attempt of which no byte was sent. Only if other VMs
-// do not reach the server either does it say anything about the server.
-func (d *Dispatcher) classifyNotSent(ctx context.Context, t *attempt, took time.Duration, rule site.RuleName) {
+// classifyNotSent returns the report about an attempt of which no byte was sent. Only if other
+// VMs do not reach the server either does it say anything about the server.
+func (d *Dispatcher) classifyNotSent(ctx context.Context, j *Job, t *attempt, took time.Duration) pool.Report {
 	switch {
 	case ctx.Err() != nil:
-		t.report = pool.Dropped{Rule: rule, Took: took}
+		return pool.Dropped{Rule: j.Match.Rule, Took: took}
 	case errors.Is(t.err, egress.ErrUnreachable):
 		d.avoid(t.grant.Server)
-		t.report = pool.Unreached{Detail: t.err.Error()}
+		return pool.Unreached{Detail: t.err.Error()}
 	default:
-		t.report = pool.Dropped{}
+		return pool.Dropped{}
 	}
 }
 
