--- a/cmd/laburnumbench/soak/owner.go
+++ b/cmd/laburnumbench/soak/cut.go
@@ -5,9 +5,28 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strings"
+
+	"laburnumpick.org/pkg/standin"
 )
 
+// cutOff cuts a VM off from all servers, in the mode that the variant selects. The returned
+// function restores its links.
+func (s *soak) cutOff(v *vm, variant int) func() error {
+	modes := standin.CutModes()
+	links := slices.Clone(s.serverLinks)
+	for _, k := range links {
+		k.cut(v, modes[variant%len(modes)])
+	}
+	return func() error {
+		for _, k := range links {
+			k.cut(v, "")
+		}
+		return nil
+	}
+}
+
 // ownsConn reports whether a process has the client end of a TCP connection on loopback that
 // comes from a port. All VMs have the same address, so that only the kernel's tables tell them
 // apart.
--- a/cmd/laburnumbench/soak/link.go
+++ b/cmd/laburnumbench/soak/link.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"laburnumpick.org/pkg/standin"
 )
 
 // LinkFault is a network fault that a link simulates.
@@ -31,22 +33,12 @@
 
 	mu    sync.Mutex
 	fault LinkFault
-	cuts  map[*vm]CutMode // VMs that are cut off.
+	cuts  map[*vm]standin.CutMode // VMs that are cut off.
 	conns map[*linkConn]struct{}
 }
 
-// CutMode is how connections of a VM that is cut off fail.
-type CutMode string
-
-// Modes of a cut.
-const (
-	CutHangs      CutMode = "hangs"      // Nothing arrives.
-	CutResets     CutMode = "resets"     // Open connections are reset, and new ones too.
-	CutRefusesNew CutMode = "refusesNew" // Open connections live on; new ones are reset.
-)
-
 // cut cuts a VM off, or restores its link if the mode is empty. Connections that hung stay dead.
-func (k *link) cut(v *vm, m CutMode) {
+func (k *link) cut(v *vm, m standin.CutMode) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if m == "" {
@@ -55,18 +47,18 @@
 	}
 	k.cuts[v] = m
 	for p := range k.conns {
-		if m == CutRefusesNew || !v.ownsConn(portOf(p.client.RemoteAddr())) {
+		if m == standin.CutRefusesNew || !v.ownsConn(portOf(p.client.RemoteAddr())) {
 			continue
 		}
 		p.blackholed = true
-		if m == CutResets {
+		if m == standin.CutResets {
 			p.reset()
 		}
 	}
 }
 
 // cutOf returns how a new connection is cut off, or "".
-func (k *link) cutOf(client net.Conn) CutMode {
+func (k *link) cutOf(client net.Conn) standin.CutMode {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for v, m := range k.cuts {
@@ -89,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &link{listen: l, target: target, cuts: make(map[*vm]CutMode), conns: make(map[*linkConn]struct{})}
+	k := &link{listen: l, target: target, cuts: make(map[*vm]standin.CutMode), conns: make(map[*linkConn]struct{})}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -144,9 +136,9 @@
 	server, err := net.Dial("tcp", k.target)
 	p := &linkConn{client: client, server: server}
 	cut := k.cutOf(client)
-	p.blackholed = cut == CutHangs
+	p.blackholed = cut == standin.CutHangs
 	k.mu.Lock()
-	refused := k.fault == LinkRefused || cut == CutResets || cut == CutRefusesNew
+	refused := k.fault == LinkRefused || cut == standin.CutResets || cut == standin.CutRefusesNew
 	if err == nil && !refused {
 		k.conns[p] = struct{}{}
 	}
--- a/cmd/laburnumbench/soak/soak.go
+++ b/cmd/laburnumbench/soak/soak.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -250,7 +249,7 @@
 		v.signal(syscall.SIGHUP)
 		return func() error { return err }
 	case VMCutOff:
-		return s.cutOff(v, []CutMode{CutHangs, CutResets, CutRefusesNew}[e.Variant%3])
+		return s.cutOff(v, e.Variant)
 	case ServerLinkFault:
 		k := s.serverLinks[index]
 		k.setFault([]LinkFault{LinkDelayed, LinkReset, LinkOneWay, LinkBlackholed, LinkRefused}[e.Variant%5])
@@ -290,20 +289,6 @@
 	return noUndo
 }
 
-// cutOff cuts a VM off from all servers. The returned function restores its links.
-func (s *soak) cutOff(v *vm, m CutMode) func() error {
-	links := slices.Clone(s.serverLinks)
-	for _, k := range links {
-		k.cut(v, m)
-	}
-	return func() error {
-		for _, k := range links {
-			k.cut(v, "")
-		}
-		return nil
-	}
-}
-
 // injectStoreFault sets the fault of the store that the event selects. The
 // returned function clears it.
 func (s *soak) injectStoreFault(e Event) func() error {
--- a/pkg/backend/endless_test.go
+++ b/pkg/backend/endless_test.go
@@ -66,7 +66,8 @@
 	}
 }
 
-// TestLateSecondResponseIsNotTheNextOne has the peer send a second response to a request, late,
+// TestLateSecondResponseIsNotTheNextOne guards against a late second response to one request that
+// is taken for that to the next. It has the peer send a second response to a request, late,
 // when the next request on the same connection has been written. Nothing of it may be returned
 // for that request, whether or not it names the first one.
 func TestLateSecondResponseIsNotTheNextOne(t *testing.T) {
--- a/pkg/backend/notice_test.go
+++ b/pkg/backend/notice_test.go
@@ -12,7 +12,8 @@
 	"laburnumpick.org/pkg/backend"
 )
 
-// TestWhatServersSayOfThemselves compares what is concluded from the headers of responses
+// TestWhatServersSayOfThemselves guards against headers of servers that bring a VM down, pause a
+// server for hours, or hide a good value beside a bad one. It compares what is concluded from the headers of responses
 // with the golden file: no value panics, none pauses a server for hours, and a good value
 // beside a bad one still counts.
 func TestWhatServersSayOfThemselves(t *testing.T) {
--- a/pkg/trial/floor_test.go
+++ b/pkg/trial/floor_test.go
@@ -59,6 +59,12 @@
 
 // send sends requests through random VMs of the given ones until stop is closed.
 func (l floorLoad) send(f *trial.Fleet, vms func() []*trial.VM, rng *rand.Rand, stop <-chan struct{}) {
+	l.run(vms, rng, stop, func(vm *trial.VM, c trial.Call) { f.Call(bg, vm, c) })
+}
+
+// run calls do, in a goroutine of its own, for each request and a random VM of the given ones,
+// until stop is closed. It returns when all have ended.
+func (l floorLoad) run(vms func() []*trial.VM, rng *rand.Rand, stop <-chan struct{}, do func(*trial.VM, trial.Call)) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for i := 0; ; i++ {
@@ -73,7 +79,7 @@
 		}
 		from := vms()
 		vm := from[rng.IntN(len(from))]
-		wg.Go(func() { f.Call(bg, vm, c) })
+		wg.Go(func() { do(vm, c) })
 	}
 }
 
--- a/pkg/trial/partition_test.go
+++ b/pkg/trial/partition_test.go
@@ -219,28 +219,13 @@
 
 // send sends a load's requests through random VMs until stop is closed.
 func (g *callLog) send(f *trial.Fleet, l floorLoad, rng *rand.Rand, stop <-chan struct{}) {
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	for i := 0; ; i++ {
-		select {
-		case <-stop:
-			return
-		case <-time.After(time.Duration(rng.ExpFloat64() / l.rate * float64(time.Second))):
-		}
-		c := trial.Call{Service: l.service, Method: http.MethodGet, Path: l.path, Mark: fmt.Sprintf("%s-%d", l.service, i), Deadline: 2 * time.Second}
-		if l.keyed {
-			c.Method, c.Key, c.FirstAttempt, c.Body = http.MethodPost, c.Mark, true, "yes"
-		}
-		vms := f.Serving()
-		vm := vms[rng.IntN(len(vms))]
-		wg.Go(func() {
-			s := sentCall{call: c, vm: vm, sentAt: time.Now()}
-			s.reply = f.Call(bg, vm, c)
-			g.mu.Lock()
-			g.calls = append(g.calls, s)
-			g.mu.Unlock()
-		})
-	}
+	l.run(f.Serving, rng, stop, func(vm *trial.VM, c trial.Call) {
+		s := sentCall{call: c, vm: vm, sentAt: time.Now()}
+		s.reply = f.Call(bg, vm, c)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.calls = append(g.calls, s)
+	})
 }
 
 // served returns the share of the requests sent between two times that accept takes which were
