--- a/review/standin/route.go
+++ b/review/standin/route.go
@@ -12,7 +12,7 @@
 	abujaService = "wayleave_compensation_payments_abuja"
 )
 
-// route returns a route of a manifest.
+// routeTo returns a route of a manifest to one service.
 func routeTo(host, prefix, kind, service string) map[string]any {
 	return map[string]any{
 		"host": host, "prefix": prefix, "route_type": kind, "timeout": "4s", "target_latency": "1s",
@@ -20,6 +20,7 @@
 	}
 }
 
+// manifestOf returns a manifest with routes and services.
 func manifestOf(version string, routes map[string]any, services ...string) map[string]any {
 	all := make(map[string]any)
 	for _, s := range services {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -121,14 +121,6 @@
 	return before, s.ver
 }
 
-// back makes the store available again with all that it had.
-func (s *store) back() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.away = false
-	s.changed.Broadcast()
-}
-
 func (s *store) version() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
