--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -42,6 +42,7 @@
 // answer is what a client got.
 type answer struct {
 	id, vm string
+	path   string
 	sentAt time.Time
 	took   time.Duration
 	status int // 0 if the connection ended without an answer.
@@ -125,14 +126,15 @@
 	id := fmt.Sprintf("r%06d", w.ids.Add(1))
 	ctx, cancel := context.WithTimeout(context.Background(), budget)
 	defer cancel()
-	r, _ := http.NewRequestWithContext(ctx, method, "http://"+v.callers+path, strings.NewReader(""))
+	callers, _ := v.addresses()
+	r, _ := http.NewRequestWithContext(ctx, method, "http://"+callers+path, strings.NewReader(""))
 	r.Host = host
 	r.Header.Set("Laburnumpick-Request-Id", id)
 	r.Header.Set("Laburnumpick-Deadline-Ms", strconv.FormatInt(budget.Milliseconds(), 10))
 	if key != "" {
 		r.Header.Set("Authorization", "Token "+key)
 	}
-	a := answer{id: id, vm: v.name, sentAt: time.Now()}
+	a := answer{id: id, vm: v.name, path: path, sentAt: time.Now()}
 	w.rec.log("sent      id=%s vm=%s %s %s", id, v.name, method, path)
 	resp, err := v.client.Do(r)
 	if err == nil {
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -75,7 +75,8 @@
 	id := fmt.Sprintf("u%06d", w.ids.Add(1))
 	ctx, cancel := context.WithTimeout(context.Background(), uploadBudget)
 	defer cancel()
-	r, _ := http.NewRequestWithContext(ctx, "POST", "http://"+v.callers+"/pod/a", bytes.NewReader(make([]byte, size)))
+	callers, _ := v.addresses()
+	r, _ := http.NewRequestWithContext(ctx, "POST", "http://"+callers+"/pod/a", bytes.NewReader(make([]byte, size)))
 	r.Host = "pod.example"
 	r.Header.Set("Laburnumpick-Request-Id", id)
 	r.Header.Set("Laburnumpick-Deadline-Ms", strconv.FormatInt(uploadBudget.Milliseconds(), 10))
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -34,6 +34,7 @@
 	seq     int
 	leaving bool
 	quiet   bool // It writes no more to the store.
+	closed  bool
 	stop    chan struct{}
 }
 
@@ -104,10 +105,10 @@
 func (u *upstream) close() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.stop != nil {
+	if !u.closed {
 		close(u.stop)
-		u.stop = nil
 	}
+	u.closed = true
 	_ = u.http.Close()
 }
 
--- a/review/standin/vm.go
+++ b/review/standin/vm.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -68,9 +69,11 @@
 	cmd       *exec.Cmd
 	log       *os.File
 	exited    chan struct{}
-	callers   string
-	health    string
 	client    *http.Client
+
+	mu      sync.Mutex // Guards the addresses, which change with each start.
+	callers string
+	health  string
 }
 
 func newVM(bin, dir, name, zone, storeAddress, extra string) (*vm, error) {
@@ -121,7 +124,9 @@
 	return errors.New(v.name + " did not become ready")
 }
 
-func (v *vm) isReady() bool {
+// findAddresses reads the addresses that the process has written since its start. It reports false
+// if there are none yet.
+func (v *vm) findAddresses() bool {
 	raw, err := os.ReadFile(v.addressFile())
 	if err != nil {
 		return false
@@ -130,9 +135,27 @@
 	if json.Unmarshal(raw, &a) != nil {
 		return false
 	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	v.callers, v.health = a.Callers, a.Health
+	return true
+}
+
+// addresses returns where clients and the platform's checks reach the process.
+func (v *vm) addresses() (callers, health string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.callers, v.health
+}
+
+// isReady asks the process whether it is ready.
+func (v *vm) isReady() bool {
+	if !v.findAddresses() {
+		return false
+	}
 	c := http.Client{Timeout: time.Second}
-	resp, err := c.Get("http://" + v.health + "/readiness")
+	_, health := v.addresses()
+	resp, err := c.Get("http://" + health + "/readiness")
 	if err != nil {
 		return false
 	}
