--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -19,7 +19,7 @@
 	memoryMiB    = 284             // "memory_mb = 284", DEPLOY.md and the sheet of caroni-packs.
 	largeBody    = 60 << 20        // Below max_body_bytes = 67108864 of the manifest.
 	usualBody    = 360_000         // The largest upload on the sheet of kelani-dispatch-grown.
-	uploads      = 10              // To each machine, one at a time.
+	uploads      = 16              // To each machine, one at a time.
 	uploadBudget = 5 * time.Second // As on that sheet.
 	restartAfter = 500 * time.Millisecond
 	faultEnds    = 3 // "processes end by themselves three times in the day".
