platform, catalog, registry: one odd row harms no other; the store's era

An entry whose server started over 5 minutes in the future is ignored, and a sequence number orders only entries within 64 writes. A registry revision holds the store's era, so revisions of two eras are never compared; a position of another era is read anew; a write that expects a revision of another era conflicts. Responses of the store are bounded at 16 MiB.

--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -20,9 +20,6 @@
 	"laburnumpick.org/pkg/site"
 )
 
-// Revision numbers the states of the list in ascending order.
-type Revision int64
-
 // Entry describes one registered server.
 type Entry struct {
 	Service  site.ServiceName
@@ -34,15 +31,6 @@
 	Seq int64
 }
 
-// olderThan reports whether the entry was made before one of the same server with
-// the given start time and sequence number.
-func (e Entry) olderThan(started, seq int64) bool {
-	if e.Server.StartedMs != started {
-		return e.Server.StartedMs < started
-	}
-	return e.Seq < seq
-}
-
 // sameContent reports whether two entries are equal, apart from their sequence
 // numbers and the time for which the server is still cold.
 func (e Entry) sameContent(o Entry) bool {
@@ -86,8 +74,7 @@
 type removal struct {
 	revision Revision
 	at       time.Time
-	started  int64
-	seq      int64
+	order    order
 }
 
 // State is an immutable snapshot of a replica.
@@ -151,8 +138,9 @@
 	} else if !u.Full && u.Since > cur {
 		return false
 	}
-	afterOutage := !r.lastUpdate.IsZero() && now.Sub(r.lastUpdate) > outageThreshold
+	afterOutage := r.isAfterOutage(now, u.Revision)
 	r.lastUpdate = now
+	u = r.withoutImplausible(now, u)
 	listed := make(map[site.ServerName]bool, len(u.Entries))
 	changed := false
 	for _, e := range u.Entries {
@@ -170,6 +158,35 @@
 	return true
 }
 
+// isAfterOutage reports whether an entry's absence from an update may mean that its server
+// could not renew it, or that the platform has lost it by going back to an older copy.
+func (r *Replica) isAfterOutage(now time.Time, next Revision) bool {
+	cur := r.state.Load().Revision
+	return !r.lastUpdate.IsZero() && (now.Sub(r.lastUpdate) > outageThreshold || next.Era() > cur.Era())
+}
+
+// withoutImplausible returns an update without the entries that no server can have made. They
+// count as removed.
+func (r *Replica) withoutImplausible(now time.Time, u Update) Update {
+	latestStart := now.Add(maxClockSkew).UnixMilli()
+	isImplausible := func(e Entry) bool { return e.Server.StartedMs > latestStart || e.Seq < 0 }
+	if !slices.ContainsFunc(u.Entries, isImplausible) {
+		return u
+	}
+	u.Removed = slices.Clone(u.Removed)
+	var valid []Entry
+	for _, e := range u.Entries {
+		if !isImplausible(e) {
+			valid = append(valid, e)
+			continue
+		}
+		u.Removed = append(u.Removed, e.Server.Name)
+		r.recordChange(Implausible, e)
+	}
+	u.Entries = valid
+	return u
+}
+
 // removedServers returns the servers that an update removes.
 func (r *Replica) removedServers(u Update, listed map[site.ServerName]bool) []site.ServerName {
 	if !u.Full {
@@ -186,11 +203,11 @@
 
 // put stores an entry and reports whether it changed the replica.
 func (r *Replica) put(now time.Time, e Entry, rev Revision) bool {
-	if removed, ok := r.removals[e.Server.Name]; ok && e.olderThan(removed.started, removed.seq+1) {
+	if removed, ok := r.removals[e.Server.Name]; ok && (e.wasMadeBefore(removed.order) || e.order() == removed.order) {
 		return false // A delayed write of a server that has been removed.
 	}
 	rec, ok := r.records[e.Server.Name]
-	if ok && e.olderThan(rec.Server.StartedMs, rec.Seq) {
+	if ok && e.wasMadeBefore(rec.order()) {
 		return false
 	}
 	delete(r.removals, e.Server.Name)
@@ -246,7 +263,7 @@
 	rec := r.records[n]
 	r.recordChange(Removed, rec.Entry)
 	delete(r.records, n)
-	r.removals[n] = removal{rev, now, rec.Server.StartedMs, rec.Seq}
+	r.removals[n] = removal{rev, now, rec.order()}
 }
 
 // Expire removes the servers that did not register again in time and drops old
@@ -333,6 +350,9 @@
 	Draining   Event = "leaving" // It is shutting down.
 	Missing    Event = "missing" // The list lacks it after an outage; it may register again.
 	Removed    Event = "gone"    // It is no longer in use.
+	// Implausible means that its entry holds a start in the future or a negative sequence
+	// number, and was ignored.
+	Implausible Event = "implausible"
 )
 
 // Change is a change of one server, for the event log.
--- a/pkg/site/directory.go
+++ b/pkg/site/directory.go
@@ -104,6 +104,43 @@
 	return e.service, e.rules.match(method, path)
 }
 
+// Object returns the object with the id, or nil.
+func (d *Directory) Object(id ObjectID) Object {
+	switch id.Kind {
+	case KindSite:
+		if d.site != nil && string(d.site.Name) == id.Name {
+			return d.site
+		}
+	case KindService:
+		if s := d.Service(ServiceName(id.Name)); s != nil {
+			return s
+		}
+	case KindRule:
+		if r := d.rule(id.Name); r != nil {
+			return r
+		}
+	case KindRoute:
+		if r, ok := d.routesByName.get(id.Name); ok {
+			return r
+		}
+	case KindAccount:
+		if a := d.Account(AccountName(id.Name)); a != nil {
+			return a
+		}
+	}
+	return nil
+}
+
+// rule returns the rule with the name, or nil.
+func (d *Directory) rule(name string) *Rule {
+	owner, ok := d.ruleOwners.get(name)
+	if !ok {
+		return nil
+	}
+	e, _ := d.services.get(string(owner))
+	return e.rules.byName[RuleName(name)]
+}
+
 // Objects returns all objects, each after those that it refers to, so that they
 // can be put one by one into an empty directory.
 func (d *Directory) Objects() []Object {
--- a/pkg/site/route.go
+++ b/pkg/site/route.go
@@ -40,7 +40,7 @@
 const (
 	MaxAttempts = 10
 	MaxPriority = 100
-	maxWeight   = 1_000_000
+	MaxWeight   = 1_000_000
 	maxShares   = 100
 )
 
@@ -76,7 +76,7 @@
 	for i, s := range all {
 		prefix := fmt.Sprintf("shares[%d].", i)
 		c.name(prefix+"service", string(s.Service))
-		c.check(s.Weight >= 0 && s.Weight <= maxWeight, prefix+"weight", fmt.Sprintf("must lie between 0 and %d", maxWeight))
+		c.check(s.Weight >= 0 && s.Weight <= MaxWeight, prefix+"weight", fmt.Sprintf("must lie between 0 and %d", MaxWeight))
 		total += s.Weight
 	}
 	c.check(total > 0, "shares", "must have a total weight above 0")
@@ -212,22 +212,44 @@
 // without copying others, so that the time grows linearly with their number. The error
 // lists what is wrong with the first invalid object.
 func Build(objects []Object) (*Directory, error) {
+	d, rejected := BuildValid(objects)
+	if len(rejected) > 0 {
+		return nil, rejected[0].Err
+	}
+	return d, nil
+}
+
+// Rejection says why an object is not part of a directory.
+type Rejection struct {
+	Object ObjectID
+	Err    error
+}
+
+// BuildValid returns a directory of those objects that are valid, in the order that Build
+// asks for, and the others with what is wrong with them.
+func BuildValid(objects []Object) (*Directory, []Rejection) {
 	d := NewDirectory()
+	var rejected []Rejection
 	for _, o := range objects {
-		switch o := o.(type) {
-		case *Route, *Account:
-			if err := d.insert(o); err != nil {
-				return nil, err
-			}
-		default:
-			next, err := d.Put(o)
-			if err != nil {
-				return nil, err
-			}
-			d = next
+		next, err := d.add(o)
+		if err != nil {
+			rejected = append(rejected, Rejection{o.ID(), err})
+			continue
 		}
+		d = next
+	}
+	return d, rejected
+}
+
+// add adds an object to a directory that nothing else uses yet. Routes and accounts are
+// inserted in place.
+func (d *Directory) add(o Object) (*Directory, error) {
+	switch o.(type) {
+	case *Route, *Account:
+		return d, d.insert(o)
+	default:
+		return d.Put(o)
 	}
-	return d, nil
 }
 
 // insert adds a route or an account in place. It may only be called while no other
--- a/pkg/store/call.go
+++ b/pkg/store/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -18,11 +19,15 @@
 	// Write is set if the request changes something: if its response is lost, it is
 	// not known whether it took effect.
 	Write bool
+	// MaxResponseBytes bounds the body of the response; a longer one is an error. Zero means
+	// the size of the largest object.
+	MaxResponseBytes int64
 }
 
 // Response is the platform's response to a Call.
 type Response struct {
 	Status int
+	Header http.Header
 	Body   []byte
 }
 
@@ -42,7 +47,7 @@
 	for n, v := range c.Header {
 		req.Header[n] = v
 	}
-	r, err := roundTrip(hc, req)
+	r, err := roundTrip(hc, req, cmp.Or(c.MaxResponseBytes, maxValueBytes))
 	switch {
 	case err == nil:
 		return r, nil
@@ -62,16 +67,17 @@
 	return io.NopCloser(bytes.NewReader(c.Body))
 }
 
-// roundTrip sends the request and reads the whole response.
-func roundTrip(hc *http.Client, req *http.Request) (Response, error) {
+// roundTrip sends the request and reads the whole response, which must not be longer than
+// maxBytes.
+func roundTrip(hc *http.Client, req *http.Request, maxBytes int64) (Response, error) {
 	resp, err := hc.Do(req)
 	if err != nil {
 		return Response{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, 2*maxValueBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxBytes))
 	if err != nil {
 		return Response{}, err
 	}
-	return Response{resp.StatusCode, body}, nil
+	return Response{resp.StatusCode, resp.Header, body}, nil
 }
