fleet: VMs register again after the store has come back from an older copy

After a drill the list was empty for good, and a VM that was added took itself for the only one and gave out whole quotas.

A VM that has just started and knows no other gives out no tokens for 3 s where the store tells an era. A list of an earlier era, as VMs of earlier builds send it, does not count as current.

--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -85,6 +85,7 @@
 	isolated  atomic.Bool               // Whether the roster considers this VM isolated.
 	behind    chan roster.VM            // VMs that have a newer configuration or registry.
 	gossipNow chan struct{}             // Signals that updates are to be pushed at once.
+	eraRose   chan struct{}             // Signals that the store has come back from an older copy.
 
 	// The fields below are owned by the loop's goroutine.
 	roster  *roster.Roster
@@ -99,7 +100,11 @@
 	unresponsive *control.TTLSet[roster.VMName] // VMs that recently did not answer as homes.
 	lostRelays   *control.TTLSet[roster.VMName] // VMs that recently did not answer as relays.
 
-	unknownSince map[string]time.Time // When a listed VM was first dead or missing in the roster; owned by the goroutine that reads the list.
+	// The fields below are owned by the goroutine that reads the list.
+	unknownSince map[string]time.Time // When a listed VM was first dead or missing in the roster.
+	registeredIn int64                // The store's era in which this VM registered.
+
+	reportedEra int64 // The store's era last reported, or unknownEra; owned by the goroutine that reads the tables.
 
 	syncMu    sync.Mutex // Guards the fields below.
 	syncState syncState
@@ -113,6 +118,7 @@
 		startedAt:    now,
 		behind:       make(chan roster.VM, 1),
 		gossipNow:    make(chan struct{}, 1),
+		eraRose:      make(chan struct{}, 1),
 		roster:       roster.New(now, cfg.Self, cfg.Rand),
 		gossip:       newGossip(),
 		wantAll:      true,
@@ -124,6 +130,7 @@
 		lostRelays:   control.NewTTLSet[roster.VMName](unresponsivePenalty),
 		sending:      make(map[roster.VMName]bool),
 		unknownSince: make(map[string]time.Time),
+		reportedEra:  unknownEra,
 	}
 	n.view.Store(n.roster.View())
 	n.quotas.addView(now, n.roster.View())
--- a/pkg/fleet/quotas.go
+++ b/pkg/fleet/quotas.go
@@ -170,7 +170,7 @@
 // quotaShare returns the part of the fleet that this VM sees, and false while it cannot
 // know. Other VMs may use their parts without hearing of this one.
 func (n *Node) quotaShare(now time.Time, d datedView) (float64, bool) {
-	if !n.quotas.listRead.Load() && n.isAlone() {
+	if n.isAlone() && (!n.quotas.listRead.Load() || n.maybeUnlisted(now)) {
 		return 0, false
 	}
 	v := d.view
@@ -186,6 +186,16 @@
 	return float64(seen) / float64(max(1, all)), true
 }
 
+// unlistedGrace is how long the VMs take to register again after the store has come back from
+// an older copy.
+const unlistedGrace = 3 * time.Second
+
+// maybeUnlisted reports whether there may be other VMs although the list has none: this VM has
+// just started, and the store may have lost their entries.
+func (n *Node) maybeUnlisted(now time.Time) bool {
+	return n.storeEra() > 0 && now.Sub(n.startedAt) < unlistedGrace
+}
+
 // TakeToken asks the VMs that decide on a quota whether a request may run.
 func (n *Node) TakeToken(ctx context.Context, r quota.Request) quota.Verdict {
 	begin := time.Now()
--- a/pkg/fleet/sync.go
+++ b/pkg/fleet/sync.go
@@ -92,8 +92,11 @@
 	announced := make(map[string]time.Time)
 	registered := false
 	for {
-		if !registered {
+		// The store may lose the entry when it comes back from an older copy.
+		era := n.storeEra()
+		if !registered || era > n.registeredIn {
 			registered = n.register(ctx)
+			n.registeredIn = era
 		}
 		n.awaitOthers(ctx)
 		gap := n.cfg.ListInterval
@@ -104,12 +107,35 @@
 		if alone || n.View().HasRole(roleListReader, n.cfg.ListReaders, n.cfg.Self.Name) {
 			n.readList(ctx, announced)
 		}
-		if err := control.Sleep(ctx, gap); err != nil {
+		if err := n.awaitEraRise(ctx, gap); err != nil {
 			return err
 		}
 	}
 }
 
+// awaitEraRise waits for a time, or until the store has come back from an older copy. Then it
+// waits a little, so that not all VMs register at once.
+func (n *Node) awaitEraRise(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	case <-n.eraRose:
+		return control.Sleep(ctx, n.jitter())
+	}
+}
+
+// storeEra returns how often the platform's store is known to have come back from an older copy.
+func (n *Node) storeEra() int64 {
+	if n.cfg.Servers == nil {
+		return 0
+	}
+	return n.cfg.Registry.State().Revision.Era()
+}
+
 // isAlone reports whether this VM knows no other.
 func (n *Node) isAlone() bool { return len(n.View().VMs()) <= 1 }
 
--- a/pkg/fleet/tables.go
+++ b/pkg/fleet/tables.go
@@ -72,17 +72,42 @@
 	}
 }
 
+// unknownEra is the era before the tables have been read.
+const unknownEra = -1
+
 // reportRegistry logs changes of registered servers and updates the registry's
-// metrics.
+// metrics. It signals that the store's era has risen.
 func (n *Node) reportRegistry() {
 	revision := n.cfg.Registry.State().Revision
+	if era := revision.Era(); revision > 0 && era > n.reportedEra {
+		if n.reportedEra != unknownEra {
+			n.reportEraRise(era)
+		}
+		n.reportedEra = era
+	}
 	for _, c := range n.cfg.Registry.TakeChanges() {
+		if c.Event == registry.Implausible {
+			n.cfg.Scope.Counter("registrationsImplausible").Inc(1)
+		}
 		record.Log("fleet: registered server", "news", c.Event, "service", c.Service, "server", c.Server, "registry", revision)
 	}
-	n.cfg.Scope.Gauge("registryRevision").Update(float64(revision))
+	n.cfg.Scope.Gauge("registryRevision").Update(float64(revision.Number()))
+	n.cfg.Scope.Gauge("storeEra").Update(float64(revision.Era()))
 	n.cfg.Scope.Gauge("platformAgeSeconds").Update(n.PlatformAge(time.Now()).Seconds())
 }
 
+// reportEraRise logs that the store has come back from an older copy, and has this VM register
+// again.
+func (n *Node) reportEraRise(era int64) {
+	record.Log("fleet: the platform's store has come back from an older copy; registering again", "era", era, "previousEra", n.reportedEra)
+	n.cfg.Journal.Add(time.Now(), "store", fmt.Sprintf("came back from an older copy: era %d after %d", era, n.reportedEra))
+	n.cfg.Scope.Counter("storeEraRises").Inc(1)
+	select {
+	case n.eraRose <- struct{}{}:
+	default:
+	}
+}
+
 // readerRank returns this VM's place among the readers, starting at 0, or false
 // if it is not one of them.
 func (n *Node) readerRank() (int, bool) {
@@ -309,9 +334,11 @@
 		n.fetchIfBehind(vm, 0, registry.Revision(req.GetServers().GetRevision()))
 	}
 	n.fetchIfBehind(vm, catalog.Version(req.GetCatalogVersion()), 0)
-	n.syncMu.Lock()
-	n.syncState.currentAt = now
-	n.syncMu.Unlock()
+	if n.isOfPresentEra(req.GetServers()) {
+		n.syncMu.Lock()
+		n.syncState.currentAt = now
+		n.syncMu.Unlock()
+	}
 	if req.GetPassOn() {
 		go n.passOnState(now, vm.Name, req)
 	}
@@ -321,6 +348,12 @@
 	}, nil
 }
 
+// isOfPresentEra reports whether a VM that sent the list of servers has read it in the era that
+// this VM knows. One of an earlier build knows no eras, and what it sends is ignored.
+func (n *Node) isOfPresentEra(list *fleetapi.ServerList) bool {
+	return n.cfg.Servers == nil || registry.Revision(list.GetRevision()).Era() >= n.cfg.Registry.State().Revision.Era()
+}
+
 // loadSnapshot puts a compressed configuration from another VM into force, if
 // there is one and it is newer.
 func (n *Node) loadSnapshot(now time.Time, raw []byte, from string) error {
