buffer: what a VM holds for bodies is bounded by its memory

Bodies within the manifest's limit took a process over its memory.

Change: package buffer, a budget of 0.3 of limits.memoryMegabytes with an account a request. Bodies are held once; without room a request is refused before it is read, slow senders lose their room first (408, not run), responses are streamed. Messages between VMs and of operators are bounded. The garbage collector follows the memory setting.

--- a/cmd/laburnumpickd/main.go
+++ b/cmd/laburnumpickd/main.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -86,6 +87,9 @@
 	if err := telemetry.SetVerbosity(set.Log.Verbosity); err != nil {
 		return err
 	}
+	if limit, known := set.Limits.HeapLimit(); known {
+		debug.SetMemoryLimit(limit)
+	}
 	signal.Ignore(syscall.SIGPIPE) // A closed reader of the event log must not kill the process.
 	eventLog, err := telemetry.LogTo(os.Stdout)
 	if err != nil {
--- a/pkg/backend/send.go
+++ b/pkg/backend/send.go
@@ -10,6 +10,8 @@
 	"net/url"
 	"os"
 	"time"
+
+	"laburnumpick.org/pkg/buffer"
 )
 
 // Headers of the contract with backend servers.
@@ -297,13 +299,13 @@
 
 func (x *exchange) readBody(resp *http.Response, maxBuffered int) (*Response, error) {
 	out := &Response{Status: resp.StatusCode, Header: resp.Header}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(maxBuffered)+1))
+	body, ended, err := buffer.Read(buffer.AccountFrom(x.ctx), resp.Body, resp.ContentLength, int64(maxBuffered))
 	if err != nil {
 		return nil, x.newError(InvalidResponse, err)
 	}
 	out.Body = body
 	remainder := &remainderReader{x: x, body: resp.Body}
-	if len(body) > maxBuffered {
+	if !ended {
 		out.BodyRemainder = remainder
 		return out, nil
 	}
--- a/pkg/caller/conn.go
+++ b/pkg/caller/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -16,6 +15,7 @@
 
 	"k8s.io/klog/v2"
 
+	"laburnumpick.org/pkg/buffer"
 	"laburnumpick.org/pkg/outcome"
 )
 
@@ -62,43 +62,53 @@
 func (c *conn) serve() {
 	defer c.shutdown()
 	for {
-		req, at, err := c.readRequest()
+		r, err := c.readRequest()
 		if err != nil {
+			r.held.Close()
 			c.refuse(err)
 			return
 		}
-		x := c.enqueue(req, at)
+		x := c.enqueue(r)
 		if x == nil {
+			r.held.Close()
 			return
 		}
 		go x.run()
-		if req.Close {
+		if r.req.Close {
 			c.watchForClose()
 			return
 		}
 	}
 }
 
+// received is a request that has been read.
+type received struct {
+	req  *http.Request
+	at   time.Time       // When its first byte was read.
+	held *buffer.Account // What is held in memory for it.
+}
+
 // readRequest reads one request with its whole body.
-func (c *conn) readRequest() (*http.Request, time.Time, error) {
+func (c *conn) readRequest() (received, error) {
 	if err := c.awaitRequest(); err != nil {
-		return nil, time.Time{}, err
+		return received{}, err
 	}
-	at := time.Now()
+	r := received{at: time.Now(), held: c.srv.cfg.Buffers.Open()}
 	lim := c.srv.cfg.Limits()
-	_ = c.nc.SetReadDeadline(at.Add(lim.HeaderTimeout)) // A broken connection is noticed by the read.
+	_ = c.nc.SetReadDeadline(r.at.Add(lim.HeaderTimeout)) // A broken connection is noticed by the read.
 	if err := c.readHead(lim.HeaderBytes); err != nil {
-		return nil, at, err
+		return r, err
 	}
 	req, err := http.ReadRequest(c.r)
 	if err != nil {
-		return nil, at, malformed(reasonOf(err))
+		return r, malformed(reasonOf(err))
 	}
-	if err := c.readBody(req, lim); err != nil {
-		return nil, at, err
+	if err := c.readBody(req, lim, r.held); err != nil {
+		return r, err
 	}
 	req.RemoteAddr = c.nc.RemoteAddr().String()
-	return req, at, nil
+	r.req = req
+	return r, nil
 }
 
 // errIdle means that a connection without unanswered requests reached its idle
@@ -180,8 +190,8 @@
 // a request that may not run in parallel or comes behind one of HTTP/1.0, is empty. It
 // returns nil if the connection is closing or broken; the request then counts as not
 // read.
-func (c *conn) enqueue(req *http.Request, at time.Time) *exchange {
-	parallel := c.srv.cfg.Parallel(req)
+func (c *conn) enqueue(r received) *exchange {
+	parallel := c.srv.cfg.Parallel(r.req)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for !c.closing && !c.broken && (len(c.queue) >= maxPipelined || (len(c.queue) > 0 && !parallel) || c.mayEndWithResponse()) {
@@ -190,7 +200,7 @@
 	if c.closing || c.broken {
 		return nil
 	}
-	x := newExchange(c, req, at)
+	x := newExchange(c, r)
 	c.reading = false // Together with the next line: the connection must not look idle in between.
 	c.queue = append(c.queue, x)
 	if len(c.queue) == 1 {
@@ -325,36 +335,6 @@
 	_, _ = io.Copy(io.Discard, c.nc)
 }
 
-// readBody reads the whole body. The connection can then be watched while the
-// request runs, and no part of a request is sent to a backend server if its caller
-// disconnects before the end of the body.
-func (c *conn) readBody(req *http.Request, lim Limits) error {
-	if req.Body == nil || req.Body == http.NoBody {
-		return nil
-	}
-	if req.ContentLength > lim.BodyBytes {
-		return outcome.New(outcome.BodyTooLarge, "the body has more than %d bytes", lim.BodyBytes)
-	}
-	if req.Header.Get("Expect") == "100-continue" && c.allAnswered() {
-		_, _ = c.w.WriteString("HTTP/1.1 100 Continue\r\n\r\n") // A broken connection is noticed by the read.
-		_ = c.w.Flush()
-	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(lim.BodyTimeout))
-	body, err := io.ReadAll(io.LimitReader(req.Body, lim.BodyBytes+1))
-	switch {
-	case int64(len(body)) > lim.BodyBytes:
-		return outcome.New(outcome.BodyTooLarge, "the body has more than %d bytes", lim.BodyBytes)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return outcome.New(outcome.RequestTimeout, "timeout while reading the request body")
-	case errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed):
-		return fmt.Errorf("%w: %w", errCallerGone, err)
-	case err != nil:
-		return malformed(reasonOf(err))
-	}
-	req.Body = io.NopCloser(bytes.NewReader(body))
-	return nil
-}
-
 // allAnswered reports whether all accepted requests have been answered.
 func (c *conn) allAnswered() bool {
 	c.mu.Lock()
--- a/pkg/caller/exchange.go
+++ b/pkg/caller/exchange.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"laburnumpick.org/pkg/buffer"
 )
 
 // maxBufferedBytes bounds the buffering of a response of unknown length. Responses up
@@ -22,6 +24,7 @@
 	req    *http.Request
 	cancel context.CancelFunc
 	atHead chan struct{} // Closed when all earlier responses of the connection have been written.
+	held   *buffer.Account
 
 	header          http.Header
 	status          int
@@ -32,10 +35,11 @@
 	remaining       int64 // Bytes of the body that are still due by the Content-Length, or -1 without one.
 }
 
-func newExchange(c *conn, req *http.Request, at time.Time) *exchange {
-	ctx, cancel := context.WithCancel(context.WithValue(c.ctx, receivedAtKey{}, at))
+func newExchange(c *conn, r received) *exchange {
+	ctx := buffer.WithAccount(context.WithValue(c.ctx, receivedAtKey{}, r.at), r.held)
+	ctx, cancel := context.WithCancel(ctx)
 	return &exchange{
-		conn: c, req: req.WithContext(ctx), cancel: cancel, atHead: make(chan struct{}),
+		conn: c, req: r.req.WithContext(ctx), cancel: cancel, atHead: make(chan struct{}), held: r.held,
 		header: make(http.Header), remaining: -1,
 	}
 }
@@ -44,6 +48,7 @@
 // connection's queue.
 func (x *exchange) run() {
 	defer x.cancel()
+	defer x.held.Close()
 	complete := false
 	defer func() { x.conn.dequeue(x, complete) }()
 	complete = x.serve() && x.finish() == nil
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -18,6 +18,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"laburnumpick.org/pkg/buffer"
 )
 
 // Limits bound the size of requests and the time that callers may take.
@@ -37,6 +39,8 @@
 	// Parallel reports whether a request may run before the earlier requests of
 	// its connection have been answered.
 	Parallel func(*http.Request) bool
+	// Buffers bounds the bytes of all bodies that are held.
+	Buffers *buffer.Budget
 }
 
 // maxPipelined is the largest number of unanswered requests of one connection.
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"laburnumpick.org/pkg/account"
 	"laburnumpick.org/pkg/admission"
 	"laburnumpick.org/pkg/backend"
+	"laburnumpick.org/pkg/buffer"
 	"laburnumpick.org/pkg/caller"
 	"laburnumpick.org/pkg/catalog"
 	"laburnumpick.org/pkg/claim"
@@ -127,6 +128,7 @@
 	listener      net.Listener // For callers.
 	node          *fleet.Node
 	entry         *entry.Entry
+	buffers       *buffer.Budget
 	tree          *suture.Supervisor
 	addr          Addresses
 	servers       []*server
@@ -145,7 +147,7 @@
 	d := &Daemon{
 		set: set, tel: telemetry.New(set.VM.Name, set.Trace.SampleRatio, set.Trace.MaxSpans),
 		replica: catalog.NewReplica(), registry: registry.NewReplica(), notices: notice.NewMemory(), stopRequested: make(chan struct{}),
-		addr: ls.addresses(set),
+		addr: ls.addresses(set), buffers: buffer.NewBudget(set.Limits.BodyMemory()),
 	}
 	d.current.Store(set)
 	if p.Store == nil {
@@ -305,7 +307,9 @@
 // buildServices creates the servers and the supervisor tree. It starts none of them.
 func (d *Daemon) buildServices(nw Network, ls *listeners, c *operator.Console, contract backend.Contract) {
 	set := d.set
-	d.callers = caller.New(caller.Config{Handler: d.entry, Limits: d.callerLimits, Parallel: d.entry.Parallel})
+	d.callers = caller.New(caller.Config{
+		Handler: d.entry, Limits: d.callerLimits, Parallel: d.entry.Parallel, Buffers: d.buffers,
+	})
 	d.listener = newLimitListener(ls.callers, set.Limits.Connections, set.Limits.ConnectionsPerHost)
 	d.servers = []*server{
 		newServer("vms", ls.vms, d.vmHandler(contract, nw.peer()), set),
@@ -322,7 +326,7 @@
 	control.Add(d.home.Loop())
 	control.Add(d.dispatcher.OutcomeWriter())
 	control.Add(egress.LinkChecker{Sender: d.egress})
-	control.Add(&pruner{d.egress})
+	control.Add(&pruner{d.egress, d.buffers, d.tel.Scope.SubScope("buffer")})
 	if nw.EventLog != nil {
 		control.Add(record.DropReporter{Writer: nw.EventLog, Scope: d.tel.Scope.SubScope("record")})
 	}
@@ -338,11 +342,17 @@
 	d.tree.Add(traffic)
 }
 
+// vmClient returns the client of calls to other VMs.
+func (d *Daemon) vmClient(nw Network) *http.Client {
+	t := boundedTransport{nw.peer().Transport(d.transport(nw)), maxVMMessageBytes}
+	return &http.Client{Transport: fleet.HeaderStripper{Next: t}}
+}
+
 func (d *Daemon) nodeConfig(nw Network, p Platform, self roster.VM, jr *journal.Journal) fleet.Config {
 	now := time.Now()
 	cfg := fleet.Config{
 		Self: self, Store: p.Store, Source: p.Source, Replica: d.replica, Home: d.home, Notices: d.notices, Journal: jr,
-		HTTP: &http.Client{Transport: fleet.HeaderStripper{Next: nw.peer().Transport(d.transport(nw))}}, Dial: nw.Dial, Token: d.set.Access.FleetToken,
+		HTTP: d.vmClient(nw), Dial: nw.Dial, Token: d.set.Access.FleetToken,
 		Scope: d.tel.Scope.SubScope("fleet"), Rand: rand.New(rand.NewPCG(uint64(now.UnixNano()), 0)),
 		Servers: p.Servers, Registry: d.registry, Keyed: keyed{d}, Standalone: nw.Standalone,
 		ListInterval: listInterval, ListReaders: listReaders, Tolerance: d.quotaTolerance,
@@ -450,7 +460,7 @@
 	for i, o := range d.set.Access.Operators {
 		operators[i] = operator.Operator{Name: o.Name, Role: operator.ParseRole(o.Role), Token: o.Token}
 	}
-	return operator.RequireOperator(func() []operator.Operator { return operators }, mux)
+	return operator.RequireOperator(func() []operator.Operator { return operators }, http.MaxBytesHandler(mux, maxOperatorMessageBytes))
 }
 
 // Addresses returns the addresses at which the daemon is reached.
--- a/pkg/daemon/egress.go
+++ b/pkg/daemon/egress.go
@@ -30,7 +30,8 @@
 func (d *Daemon) egressHandler(contract backend.Contract) http.Handler {
 	return egress.NewHandler(egress.HandlerConfig{
 		Sender: d.egress, Contract: contract, Tracer: d.tel.Tracer,
-		MaxAtOnce: func() int { return d.current.Load().Limits.CarriedRequests }, MaxBody: d.set.Limits.BodyBytes,
+		MaxAtOnce: func() int { return d.current.Load().Limits.CarriedRequests }, MaxBody: func() int64 { return d.callerLimits().BodyBytes },
+		Buffers: d.buffers,
 		Server: d.knownServer, CheckNotice: d.dispatcher.CheckNotice, OnHead: d.dispatcher.ObserveCarried,
 		Stopping: d.entry.Stopping,
 	})
@@ -42,7 +43,7 @@
 	carry := d.egressHandler(contract)
 	mux.Handle("POST "+egress.PathAttempt, carry)
 	mux.Handle("POST "+egress.PathCheck, carry)
-	mux.Handle("/", p.Handler(fleetapi.NewFleetServer(d.node.Server())))
+	mux.Handle("/", http.MaxBytesHandler(p.Handler(fleetapi.NewFleetServer(d.node.Server())), maxVMMessageBytes))
 	return operator.RequireFleetToken(fleetapi.HeaderToken, d.set.Access.FleetToken, mux)
 }
 
--- a/pkg/daemon/server.go
+++ b/pkg/daemon/server.go
@@ -9,9 +9,11 @@
 	"time"
 
 	"github.com/thejerf/suture/v4"
+	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
 	"laburnumpick.org/pkg/backend"
+	"laburnumpick.org/pkg/buffer"
 	"laburnumpick.org/pkg/caller"
 	"laburnumpick.org/pkg/control"
 	"laburnumpick.org/pkg/egress"
@@ -101,8 +103,13 @@
 // idle too long.
 const pruneInterval = 2 * time.Second
 
-// pruner closes connections to backend servers and VMs that have been idle too long.
-type pruner struct{ egress *egress.Sender }
+// pruner closes connections to backend servers and VMs that have been idle too long, and
+// publishes what is held for bodies.
+type pruner struct {
+	egress  *egress.Sender
+	buffers *buffer.Budget
+	scope   tally.Scope
+}
 
 // Serve implements suture.Service.
 func (p *pruner) Serve(ctx context.Context) error {
@@ -111,5 +118,6 @@
 			return err
 		}
 		p.egress.Prune(time.Now())
+		p.buffers.Publish(p.scope)
 	}
 }
--- a/pkg/egress/carry.go
+++ b/pkg/egress/carry.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"laburnumpick.org/pkg/backend"
+	"laburnumpick.org/pkg/buffer"
 	"laburnumpick.org/pkg/record"
 	"laburnumpick.org/pkg/roster"
 	"laburnumpick.org/pkg/site"
@@ -28,8 +28,9 @@
 	Sender    *Sender
 	Contract  backend.Contract
 	Tracer    trace.Tracer
-	MaxAtOnce func() int // Requests of other VMs that run at the same time.
-	MaxBody   int64      // Size of a request's body, in bytes.
+	MaxAtOnce func() int   // Requests of other VMs that run at the same time.
+	MaxBody   func() int64 // Size of a request's body, in bytes.
+	Buffers   *buffer.Budget
 	// Server returns the server of a service that this VM knows by a name.
 	Server func(site.ServiceName, site.ServerName) (site.Server, bool)
 	// CheckNotice returns an error if the server wants no requests from this VM now.
@@ -58,7 +59,10 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
-	c, result, detail := h.admit(w, r)
+	held := h.cfg.Buffers.Open()
+	defer held.Close()
+	r = r.WithContext(buffer.WithAccount(r.Context(), held))
+	c, result, detail := h.admit(r)
 	if result != "" {
 		h.refuse(w, r, c, result, detail)
 		return
@@ -86,10 +90,16 @@
 
 // admit reads a call and decides whether it may run. If not, it returns the result to reply
 // with. Otherwise the caller must take a value from h.running in the end.
-func (h *Handler) admit(w http.ResponseWriter, r *http.Request) (*call, Result, string) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.cfg.MaxBody))
-	if err != nil {
+func (h *Handler) admit(r *http.Request) (*call, Result, string) {
+	maxBody := h.cfg.MaxBody()
+	body, ended, err := buffer.Read(buffer.AccountFrom(r.Context()), r.Body, r.ContentLength, maxBody)
+	switch {
+	case err != nil:
 		return nil, Malformed, err.Error()
+	case int64(len(body)) > maxBody:
+		return nil, Malformed, fmt.Sprintf("the body has more than %d bytes", maxBody)
+	case !ended:
+		return nil, Busy, "this VM has no room in memory for the body"
 	}
 	c, err := parseCall(r, body)
 	if err != nil {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -424,7 +424,7 @@
 // buildRequest builds the request for backend servers. The callers' server has
 // already read the whole body.
 func (x *exchange) buildRequest(r *http.Request) *outcome.Failure {
-	body, err := io.ReadAll(r.Body)
+	body, err := readBody(r)
 	if err != nil {
 		return outcome.New(outcome.Malformed, "reading the request body: %v", err)
 	}
@@ -441,6 +441,14 @@
 	return nil
 }
 
+// readBody returns the request's body, which the callers' server has already read.
+func readBody(r *http.Request) ([]byte, error) {
+	if body, ok := caller.BodyOf(r); ok {
+		return body, nil
+	}
+	return io.ReadAll(r.Body)
+}
+
 // targetURL returns a URL whose RequestURI is the request target as the caller
 // sent it, also where parsing and encoding the path again would change it.
 func targetURL(r *http.Request) *url.URL {
--- a/pkg/fleet/sync.go
+++ b/pkg/fleet/sync.go
@@ -116,13 +116,11 @@
 // awaitEraRise waits for a time, or until the store has come back from an older copy. Then it
 // waits a little, so that not all VMs register at once.
 func (n *Node) awaitEraRise(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+	timeout, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
 	select {
-	case <-ctx.Done():
+	case <-timeout.Done():
 		return ctx.Err()
-	case <-timer.C:
-		return nil
 	case <-n.eraRose:
 		return control.Sleep(ctx, n.jitter())
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -131,6 +131,34 @@
 	// to backend servers are down.
 	CarriedRequests int     `yaml:"carriedRequests"`
 	Account         Account `yaml:"account"`
+	// MemoryMegabytes is the memory of the process, in 10^6 bytes; zero if it is not known. What
+	// is held for bodies follows it.
+	MemoryMegabytes float64 `yaml:"memoryMegabytes"`
+}
+
+// Shares of the process's memory.
+const (
+	// bodyShare is the part that the bodies of requests and responses may take.
+	bodyShare = 0.3
+	// heapShare is the part above which the garbage collector runs more often. What it has not
+	// collected counts as used.
+	heapShare = 0.7
+	// defaultBodyMemory is what bodies may take, in bytes, where the memory is not known.
+	defaultBodyMemory = 256 << 20
+)
+
+// BodyMemory returns how many bytes may be held for bodies.
+func (l *Limits) BodyMemory() int64 {
+	if l.MemoryMegabytes == 0 {
+		return defaultBodyMemory
+	}
+	return int64(bodyShare * l.MemoryMegabytes * 1e6)
+}
+
+// HeapLimit returns the size of the heap, in bytes, above which the garbage collector runs more
+// often, or false if the memory is not known.
+func (l *Limits) HeapLimit() (int64, bool) {
+	return int64(heapShare * l.MemoryMegabytes * 1e6), l.MemoryMegabytes > 0
 }
 
 // Account holds the limits, in each VM, of client accounts that have none of their own and are
@@ -401,6 +429,9 @@
 	checkRange(c, "limits.connectionsFromOne", l.ConnectionsPerHost, 1, 1_000_000)
 	checkRange(c, "limits.vouchesPerSecond", l.ConfirmationsPerSecond, 0.01, 1000)
 	checkRange(c, "limits.carriedRequests", l.CarriedRequests, 0, 60_000)
+	if l.MemoryMegabytes != 0 {
+		checkRange(c, "limits.memoryMegabytes", l.MemoryMegabytes, 32, 1e7)
+	}
 	checkRange(c, "limits.account.rate", l.Account.Rate, 0.001, 1e6)
 	checkRange(c, "limits.account.burst", l.Account.Burst, 1, 1_000_000)
 	checkRange(c, "limits.account.inFlight", l.Account.InFlight, 1, 1_000_000)
