--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 # The linter's cache holds absolute paths, so checkouts must not share one.
 LINT_CACHE := $(CURDIR)/bin/lint-cache
 
-.PHONY: build soak demo test format lint vet unit generate clean
+.PHONY: build soak demo test format lint vet cross unit generate clean
 
 build:
 	go build -o bin/ ./cmd/laburnumpickd ./cmd/laburnumpick ./cmd/laburnumbench
@@ -22,7 +22,7 @@
 soak: build
 	bin/laburnumbench soak --seed 1 --length 5s --vms 3 --callers 4 --no-timing
 
-test: format lint vet unit soak
+test: format lint vet cross unit soak
 
 $(GOFUMPT):
 	GOBIN=$(TOOLS) go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
@@ -39,6 +39,11 @@
 vet:
 	@for m in $(MODULES); do (cd $$m && go vet ./...) || exit 1; done
 
+# Builds and vets all packages and tests for the architecture that this machine is not of.
+cross:
+	@arch=amd64; if [ "$$(go env GOHOSTARCH)" = amd64 ]; then arch=arm64; fi; for m in $(MODULES); do \
+		(cd $$m && CGO_ENABLED=0 GOARCH=$$arch go build -o /dev/null ./... && CGO_ENABLED=0 GOARCH=$$arch go vet ./...) || exit 1; done
+
 unit:
 	bash _scripts/unit.sh $(MODULES)
 
--- a/pkg/daemon/egress.go
+++ b/pkg/daemon/egress.go
@@ -32,7 +32,7 @@
 		Sender: d.egress, Contract: contract, Tracer: d.tel.Tracer,
 		MaxAtOnce: func() int { return d.current.Load().Limits.CarriedRequests }, MaxBody: func() int64 { return d.callerLimits().BodyBytes },
 		Buffers: d.buffers,
-		Server: d.knownServer, CheckNotice: d.dispatcher.CheckNotice, OnHead: d.dispatcher.ObserveCarried,
+		Server:  d.knownServer, CheckNotice: d.dispatcher.CheckNotice, OnHead: d.dispatcher.ObserveCarried,
 		Stopping: d.entry.Stopping,
 	})
 }
