--- a/pkg/caller/body_test.go
+++ b/pkg/caller/body_test.go
@@ -1,8 +1,10 @@
 package caller
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -20,19 +22,34 @@
 	return b
 }
 
-// upload sends a request with a body whose end is left out, and returns a function that reads the
-// response.
-func (f *fixture) upload(path string, length int, sent string) (respond func() *http.Response, finish func(rest string)) {
+// upload is a request with a body.
+type upload struct {
+	f *fixture
+	c net.Conn
+	r *bufio.Reader
+}
+
+// upload sends a request with the first part of its body.
+func (f *fixture) upload(path string, length int, sent string) *upload {
 	c, r := f.dial()
 	f.send(c, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, length, sent))
-	respond = func() *http.Response {
-		resp, err := http.ReadResponse(r, nil)
-		assert.NilError(f.t, err)
-		_, err = io.Copy(io.Discard, resp.Body)
-		assert.NilError(f.t, err)
-		return resp
-	}
-	return respond, func(rest string) { f.send(c, rest) }
+	return &upload{f, c, r}
+}
+
+// response reads the response.
+func (u *upload) response() (status int, h http.Header) {
+	resp, err := http.ReadResponse(u.r, nil)
+	assert.NilError(u.f.t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(u.f.t, err)
+	assert.NilError(u.f.t, resp.Body.Close())
+	return resp.StatusCode, resp.Header
+}
+
+// status reads the response and returns its status.
+func (u *upload) status() int {
+	status, _ := u.response()
+	return status
 }
 
 // TestSlowSendersHarmNobodyElse has 500 callers that send their bodies so slowly that they hold all
@@ -42,22 +59,19 @@
 	withServer(t, func(f *fixture) {
 		const size = 200 << 10
 		budget := f.useBuffers(40 << 20)
-		var responses []func() *http.Response
+		var slow []*upload
 		for i := range 500 {
-			respond, _ := f.upload(fmt.Sprintf("/x0s/slow%d", i), size, strings.Repeat("s", 20<<10))
-			responses = append(responses, respond)
+			slow = append(slow, f.upload(fmt.Sprintf("/x0s/slow%d", i), size, strings.Repeat("s", 20<<10)))
 		}
 		time.Sleep(1500 * time.Millisecond)
 		assert.Assert(t, budget.Used() > budget.Limit()*3/4, "%d", budget.Used())
 		for i := range 20 {
-			respond, _ := f.upload(fmt.Sprintf("/x0s/usual%d", i), size, strings.Repeat("u", size))
-			assert.Equal(t, respond().StatusCode, http.StatusOK)
-			respond, _ = f.upload(fmt.Sprintf("/x0s/small%d", i), 300, strings.Repeat("u", 300))
-			assert.Equal(t, respond().StatusCode, http.StatusOK)
+			assert.Equal(t, f.upload(fmt.Sprintf("/x0s/usual%d", i), size, strings.Repeat("u", size)).status(), http.StatusOK)
+			assert.Equal(t, f.upload(fmt.Sprintf("/x0s/small%d", i), 300, strings.Repeat("u", 300)).status(), http.StatusOK)
 			assert.Assert(t, budget.Used() <= budget.Limit())
 		}
-		for _, respond := range responses {
-			status := respond().StatusCode
+		for _, u := range slow {
+			status := u.status()
 			assert.Assert(t, status == http.StatusRequestTimeout || status == http.StatusServiceUnavailable, "%d", status)
 		}
 		for _, path := range f.h.list(&f.h.began) {
@@ -76,14 +90,13 @@
 		held := budget.Open()
 		assert.Assert(t, held.Reserve(800<<10))
 		began := time.Now()
-		respond, _ := f.upload("/x0s/large", 500<<10, "begins")
-		resp := respond()
-		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
-		assert.Assert(t, resp.Header.Get("Retry-After") != "")
+		status, h := f.upload("/x0s/large", 500<<10, "begins").response()
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		assert.Assert(t, h.Get("Retry-After") != "")
 		assert.Assert(t, time.Since(began) < 100*time.Millisecond)
 		held.Close()
-		respond, finish := f.upload("/x0s/large", 500<<10, "begins")
-		finish(strings.Repeat("x", 500<<10-len("begins")))
-		assert.Equal(t, respond().StatusCode, http.StatusOK)
+		u := f.upload("/x0s/large", 500<<10, "begins")
+		f.send(u.c, strings.Repeat("x", 500<<10-len("begins")))
+		assert.Equal(t, u.status(), http.StatusOK)
 	})
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -527,7 +527,7 @@
 	stop := d.current.Load().Stop.Times()
 	total := stop.KeepAlive + stop.Idle + stop.Drain
 	d.entry.Stop(time.Now().Add(total))
-	ctx, cancel := context.WithTimeout(context.Background(), total)
+	ctx, cancel := context.WithTimeout(context.Background(), total+stop.Respond)
 	defer cancel()
 	go d.node.Leave(ctx)
 	time.Sleep(stop.KeepAlive)
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -186,6 +186,7 @@
 	KeepAlive time.Duration // Connections stay open. At its end, keep-alive is disabled.
 	Idle      time.Duration // Connections close after their next response. At its end, idle ones are closed.
 	Drain     time.Duration // Requests in flight complete.
+	Respond   time.Duration // Responses that are due at the end of Drain are written.
 }
 
 // Shares of the grace time. The load balancer needs some seconds to remove the VM,
@@ -194,15 +195,19 @@
 	graceKeepAlive = 0.50
 	graceIdle      = 0.08
 	graceDrain     = 0.37
+	graceRespond   = 0.03
 )
 
+// defaultRespond is StopTimes.Respond where no grace time is set.
+const defaultRespond = 200 * time.Millisecond
+
 // Times returns the durations of the phases.
 func (s Stop) Times() StopTimes {
 	if s.Grace == 0 {
-		return StopTimes{KeepAlive: 0, Idle: s.BalancerDelay, Drain: s.DrainTimeout}
+		return StopTimes{KeepAlive: 0, Idle: s.BalancerDelay, Drain: s.DrainTimeout, Respond: defaultRespond}
 	}
 	phase := func(share float64) time.Duration { return time.Duration(share * float64(s.Grace)) }
-	return StopTimes{KeepAlive: phase(graceKeepAlive), Idle: phase(graceIdle), Drain: phase(graceDrain)}
+	return StopTimes{KeepAlive: phase(graceKeepAlive), Idle: phase(graceIdle), Drain: phase(graceDrain), Respond: phase(graceRespond)}
 }
 
 // Access holds the tokens of VMs and operators.
--- a/pkg/trial/fleet.go
+++ b/pkg/trial/fleet.go
@@ -269,6 +269,9 @@
 	f.removeFromBalancer(vm)
 }
 
+// Retire takes a VM that was stopped out of those that the load balancer uses.
+func (f *Fleet) Retire(vm *VM) { f.removeFromBalancer(vm) }
+
 // removeFromBalancer removes a VM from those that the load balancer uses.
 func (f *Fleet) removeFromBalancer(vm *VM) {
 	f.mu.Lock()
@@ -342,12 +345,12 @@
 // CallerTransport returns a transport for callers and operators. It opens a new
 // connection for each request.
 func (f *Fleet) CallerTransport() http.RoundTripper {
-	return &http.Transport{
-		DisableKeepAlives: true,
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return f.Net.DialFrom(ctx, callerHost, address)
-		},
-	}
+	return &http.Transport{DisableKeepAlives: true, DialContext: f.DialAsCaller}
+}
+
+// DialAsCaller connects a caller to an address.
+func (f *Fleet) DialAsCaller(ctx context.Context, _, address string) (net.Conn, error) {
+	return f.Net.DialFrom(ctx, callerHost, address)
 }
 
 // countingConn adds the bytes read and written to a counter.
