registry, fleet: a server that registers again after an outage reaches all VMs

At its return several VMs read the list and marked the servers as missing; the VM that went on reading had never missed them, so for it their return was no change, and Since did not tell it. A VM that was told of another's missing servers also removed them at once.

Change: while servers register again after an outage, each entry that a VM reads counts as changed, so that it is passed on; that a server is missing is not told to others, only its removal; a server that has registered again and then leaves is removed at once; a reader's first message includes the changes of its first read, and a VM that has not read the list for 3 s reads all of it.

Tests: TestServerThatIsBackReachesAllReplicasThroughAnotherReader fails before. Two tests follow the rule that what is missing is not told (TestReturnedServerReachesOtherReplicas now also checks that the other VM keeps a missing server and is told of its removal; TestReplicasSync leaves the outage window before it expects a removal at once).

--- a/pkg/fleet/tables.go
+++ b/pkg/fleet/tables.go
@@ -44,6 +44,7 @@
 	currentAt   time.Time       // Time at which the copy was last known to be current.
 	failures    int             // Failed reads in a row.
 	retryAt     time.Time       // No read before this time, after failed reads.
+	listReadAt  time.Time       // When this VM last read the list of servers.
 	sentVersion catalog.Version // Version of the configuration last sent to all VMs.
 	revisions   []revisionMark  // Registry revisions within changesWindow, the oldest first.
 	unreachable bool            // The last read failed.
@@ -163,6 +164,7 @@
 // syncTables reads the tables and, if this VM has a reader rank, sends the state
 // to all others. Failed reads are retried with exponential back-off.
 func (n *Node) syncTables(ctx context.Context) {
+	before := n.cfg.Registry.State().Revision
 	asOf, err := n.readTables(ctx)
 	n.syncMu.Lock()
 	s := &n.syncState
@@ -186,7 +188,7 @@
 		record.Log("fleet: reading the platform's tables again", "away", asOf.Sub(lastCurrent).Round(time.Millisecond))
 	}
 	if _, ranked := n.readerRank(); ranked {
-		n.sendStateToAll(ctx, asOf)
+		n.sendStateToAll(ctx, asOf, before)
 	}
 }
 
@@ -212,7 +214,7 @@
 	if n.cfg.Servers == nil {
 		return now, nil
 	}
-	u, err := n.cfg.Servers.Read(ctx, n.cfg.Registry.State().Revision)
+	u, err := n.cfg.Servers.Read(ctx, n.readFrom(now))
 	if err != nil {
 		return time.Time{}, fmt.Errorf("reading the registered servers: %w", err)
 	}
@@ -220,6 +222,21 @@
 	return now, nil
 }
 
+// readFrom returns the revision from which the list of servers is read. A VM that has not read it
+// for a while reads all of it: the one that did may have stopped before it told which servers
+// have not registered again after an outage.
+func (n *Node) readFrom(now time.Time) registry.Revision {
+	n.syncMu.Lock()
+	defer n.syncMu.Unlock()
+	s := &n.syncState
+	fresh := now.Sub(s.listReadAt) <= changesWindow
+	s.listReadAt = now
+	if !fresh {
+		return 0
+	}
+	return n.cfg.Registry.State().Revision
+}
+
 // reportConfigInForce logs and publishes the version of the configuration that
 // came into force, and its source.
 func (n *Node) reportConfigInForce(v catalog.Version, from string) {
@@ -228,8 +245,9 @@
 }
 
 // sendStateToAll sends this VM's versions to all other VMs, with the recent
-// changes of the registry and, if it is new, the configuration.
-func (n *Node) sendStateToAll(ctx context.Context, asOf time.Time) {
+// changes of the registry and, if it is new, the configuration. before is the registry's revision
+// before the last read.
+func (n *Node) sendStateToAll(ctx context.Context, asOf time.Time, before registry.Revision) {
 	st := n.cfg.Replica.State()
 	req := &fleetapi.LevelRequest{
 		From: string(n.cfg.Self.Name), Address: n.cfg.Self.Address, CatalogVersion: int64(st.Version),
@@ -237,7 +255,7 @@
 	n.syncMu.Lock()
 	fresh := st.Version > n.syncState.sentVersion
 	n.syncState.sentVersion = st.Version
-	baseRevision := n.syncState.baseRevision(asOf, n.cfg.Registry.State().Revision)
+	baseRevision := n.syncState.baseRevision(asOf, before)
 	n.syncMu.Unlock()
 	if n.cfg.Servers != nil {
 		req.Servers = fleetapi.FromRegistry(n.cfg.Registry.Since(asOf, baseRevision))
@@ -250,10 +268,11 @@
 	}
 }
 
-// baseRevision records the current revision and returns the one from changesWindow
-// ago. Changes since then are sent.
-func (s *syncState) baseRevision(now time.Time, present registry.Revision) registry.Revision {
-	s.revisions = append(s.revisions, revisionMark{now, present})
+// baseRevision records the revision before a read and returns the one from changesWindow
+// ago. Changes since then are sent: those of a VM's first read as reader too, since the reader
+// before may not have sent them.
+func (s *syncState) baseRevision(now time.Time, before registry.Revision) registry.Revision {
+	s.revisions = append(s.revisions, revisionMark{now, before})
 	for len(s.revisions) > 1 && now.Sub(s.revisions[1].at) > changesWindow {
 		s.revisions = s.revisions[1:]
 	}
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -67,6 +67,7 @@
 	Entry
 	revision     Revision  // Of the entry's last change.
 	coldUntil    time.Time // When the server stops being slow after its start.
+	listedAt     time.Time // When an update last had the entry.
 	missingSince time.Time // When the list first lacked it; zero if the list has it.
 }
 
@@ -113,6 +114,7 @@
 	removals       map[site.ServerName]removal
 	pendingChanges []Change  // Since the last TakeChanges.
 	lastUpdate     time.Time // When Apply last got an update without a gap.
+	recoversUntil  time.Time // Until when servers register again after an outage.
 	compactedUpTo  Revision  // Newest revision of a removal that was dropped.
 }
 
@@ -126,19 +128,21 @@
 // State returns the current snapshot.
 func (r *Replica) State() *State { return r.state.Load() }
 
-// Apply applies an update; an update that is not newer than the replica changes
-// nothing. It returns false if the update starts after the replica's revision: the
+// Apply applies an update; an update that is older than the replica, or as old and without the
+// full list, changes nothing. It returns false if the update starts after the replica's revision: the
 // changes in between are missing, and the caller must get the full list.
 func (r *Replica) Apply(now time.Time, u Update) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if cur := r.state.Load().Revision; u.Revision < cur || (u.Revision == cur && cur > 0) {
+	if cur := r.state.Load().Revision; u.Revision < cur || (u.Revision == cur && cur > 0 && !u.Full) {
 		r.lastUpdate = now
 		return true
 	} else if !u.Full && u.Since > cur {
 		return false
 	}
-	afterOutage := r.isAfterOutage(now, u.Revision)
+	if r.isAfterOutage(now, u.Revision) {
+		r.recoversUntil = now.Add(reregisterGrace)
+	}
 	r.lastUpdate = now
 	u = r.withoutImplausible(now, u)
 	listed := make(map[site.ServerName]bool, len(u.Entries))
@@ -148,7 +152,7 @@
 		changed = r.put(now, e, u.Revision) || changed
 	}
 	for _, n := range r.removedServers(u, listed) {
-		changed = r.removeOrMarkMissing(now, n, u.Revision, afterOutage) || changed
+		changed = r.removeOrMarkMissing(now, n, u.Revision) || changed
 	}
 	if u.Full {
 		// What was removed before is not known, apart from the servers that were held here.
@@ -212,16 +216,16 @@
 	}
 	delete(r.removals, e.Server.Name)
 	if ok && rec.sameContent(e) {
-		rec.Seq = e.Seq
-		if rec.missingSince.IsZero() {
-			return false
+		rec.Seq, rec.listedAt = e.Seq, now
+		wasMissing := !rec.missingSince.IsZero()
+		if wasMissing || now.Before(r.recoversUntil) {
+			// Other replicas may miss it too, so Since reports it to them.
+			rec.missingSince, rec.revision = time.Time{}, rev
 		}
-		rec.missingSince = time.Time{}
-		rec.revision = rev // So that Since reports to other replicas that it is back.
-		return true
+		return wasMissing
 	}
 	r.recordChange(eventFor(rec, e), e)
-	r.records[e.Server.Name] = &record{Entry: e, revision: rev, coldUntil: now.Add(e.ColdFor)}
+	r.records[e.Server.Name] = &record{Entry: e, revision: rev, coldUntil: now.Add(e.ColdFor), listedAt: now}
 	return true
 }
 
@@ -239,18 +243,17 @@
 }
 
 // removeOrMarkMissing removes a server that the list no longer has and reports
-// whether it did. After an outage it only records since when the server is missing;
-// Expire removes it later.
-func (r *Replica) removeOrMarkMissing(now time.Time, n site.ServerName, rev Revision, afterOutage bool) bool {
+// whether it did. If the server has not registered again yet after an outage it only records that it
+// is missing; Expire removes it later.
+func (r *Replica) removeOrMarkMissing(now time.Time, n site.ServerName, rev Revision) bool {
 	rec, ok := r.records[n]
-	if !ok {
+	if !ok || !rec.missingSince.IsZero() {
 		return false
 	}
-	if afterOutage || !rec.missingSince.IsZero() {
-		if rec.missingSince.IsZero() {
-			rec.missingSince = now
-			r.recordChange(Missing, rec.Entry)
-		}
+	returned := r.recoversUntil.Add(-reregisterGrace)
+	if now.Before(r.recoversUntil) && rec.listedAt.Before(returned) {
+		rec.missingSince = returned
+		r.recordChange(Missing, rec.Entry)
 		return false
 	}
 	r.remove(now, n, rev)
@@ -314,16 +317,13 @@
 }
 
 // Since returns the changes after a revision, or the full list if the revision is zero
-// or the replica no longer has all removals since then.
+// or the replica no longer has all removals since then. A server that is missing is still in
+// use, so that is not told.
 func (r *Replica) Since(now time.Time, since Revision) Update {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	u := Update{Since: since, Revision: r.state.Load().Revision, Full: since < r.compactedUpTo || since == 0}
-	for n, rec := range r.records {
-		if !rec.missingSince.IsZero() {
-			u.Removed = append(u.Removed, n)
-			continue
-		}
+	for _, rec := range r.records {
 		if u.Full || rec.revision > since {
 			e := rec.Entry
 			e.ColdFor = max(0, rec.coldUntil.Sub(now))
