--- a/pkg/pool/admission.go
+++ b/pkg/pool/admission.go
@@ -52,11 +52,15 @@
 
 // admissionQueue returns the queued requests in the form of package admission.
 func (p *Pool) admissionQueue(now time.Time) []admission.Request {
-	out := make([]admission.Request, len(p.queue.waiters), len(p.queue.waiters)+1)
+	return p.admissionRequests(now, p.queue.waiters)
+}
+
+// admissionRequests returns waiters in the form of package admission.
+func (p *Pool) admissionRequests(now time.Time, waiters []*waiter) []admission.Request {
+	out := make([]admission.Request, len(waiters), len(waiters)+1)
 	var work admission.Work
-	for i := range p.queue.waiters {
-		w := &p.queue.waiters[i]
-		if i == 0 || w.request.Rule != p.queue.waiters[i-1].request.Rule {
+	for i, w := range waiters {
+		if i == 0 || w.request.Rule != waiters[i-1].request.Rule {
 			work = p.workOf(now, w.request.Rule)
 		}
 		out[i] = newAdmissionRequest(w.request, w.ticket, work)
@@ -64,11 +68,11 @@
 	return out
 }
 
-// orderByCost returns the queued requests in the order in which they are to be served.
-func (p *Pool) orderByCost(now time.Time) []waiter {
-	out := make([]waiter, 0, p.queue.len())
-	for _, i := range p.ledger.Order(now, p.admissionQueue(now)) {
-		out = append(out, p.queue.waiters[i])
+// orderByCost returns waiters in the order in which they are to be served.
+func (p *Pool) orderByCost(now time.Time, waiters []*waiter) []*waiter {
+	out := make([]*waiter, 0, len(waiters))
+	for _, i := range p.ledger.Order(now, p.admissionRequests(now, waiters)) {
+		out = append(out, waiters[i])
 	}
 	return out
 }
--- a/pkg/pool/clone.go
+++ b/pkg/pool/clone.go
@@ -64,10 +64,24 @@
 }
 
 func (q *queue) clone() queue {
-	c := *q
-	c.waiters = slices.Clone(q.waiters)
+	c := newQueue()
+	c.next, c.turns = q.next, q.turns
+	copies := make(map[*waiter]*waiter, len(q.waiters))
+	for _, w := range q.waiters {
+		copied := *w
+		copies[w] = &copied
+		c.waiters = append(c.waiters, &copied)
+		c.count(w.request, 1)
+	}
+	for _, w := range q.front.waiters {
+		c.front.waiters = append(c.front.waiters, copies[w])
+	}
+	c.front.arrived = q.front.arrived
 	c.lastTurn = maps.Clone(q.lastTurn)
-	c.evicted = slices.Clone(q.evicted)
+	for _, w := range q.evicted {
+		copied := *w
+		c.evicted = append(c.evicted, &copied)
+	}
 	return c
 }
 
--- a/pkg/pool/dispatch.go
+++ b/pkg/pool/dispatch.go
@@ -27,17 +27,52 @@
 		return out
 	}
 	free := p.freeSlots(now)
-	if free == 0 && now.Sub(p.lastSweep) < sweepInterval {
-		return out
+	if now.Sub(p.lastSweep) < sweepInterval {
+		if free == 0 {
+			return out
+		}
+		granted, exhausted := p.serveFront(now, free)
+		out = append(out, granted...)
+		if !exhausted {
+			return out
+		}
+		free = p.freeSlots(now)
 	}
 	p.lastSweep = now
 	return append(out, p.sweep(now, free)...)
 }
 
-// sweepInterval is the time between two sweeps of the queue while no slot is free. A
-// sweep finds the requests that can no longer be served in time.
+// sweepInterval is the time between two sweeps of the queue, unless its front is used up. A
+// sweep orders the whole queue and finds the requests that can no longer be served in time.
 const sweepInterval = 25 * time.Millisecond
 
+// serveFront grants free slots to the requests at the front of the queue. It reports whether
+// requests that are not in the front may have a turn.
+func (p *Pool) serveFront(now time.Time, free int) (out []QueueDecision, exhausted bool) {
+	f := &p.queue.front
+	next := f.next(func(ws []*waiter) []*waiter { return p.serviceOrder(now, ws) })
+	for _, w := range next {
+		if free == 0 {
+			return out, false
+		}
+		if d, ok := p.serve(now, w); ok {
+			free--
+			out = append(out, d)
+		}
+	}
+	return out, free > 0 && p.queue.len() > len(next)-len(out)
+}
+
+// serve grants a slot to a queued request, if a server can take it.
+func (p *Pool) serve(now time.Time, w *waiter) (QueueDecision, bool) {
+	v := p.choose(now, w.request, !p.hasUsableServer(now, w.request))
+	if v == nil {
+		return QueueDecision{}, false
+	}
+	p.queue.serve(w)
+	return QueueDecision{w.ticket, p.grant(now, v, w.request, false)}, true
+}
+
 // freeSlots returns the number of free slots of all servers, including suspected
 // ones and ones in back-off.
 func (p *Pool) freeSlots(now time.Time) int {
@@ -59,12 +94,12 @@
 	if slots == 0 {
 		slots = 1 // Servers in back-off will be usable again.
 	}
-	for _, w := range p.serviceOrder(now) {
+	var left []*waiter
+	for _, w := range p.serviceOrder(now, p.queue.waiters) {
 		if free > 0 {
-			if v := p.choose(now, w.request, !p.hasUsableServer(now, w.request)); v != nil {
+			if d, ok := p.serve(now, w); ok {
 				free--
-				p.queue.serve(w)
-				out = append(out, QueueDecision{w.ticket, p.grant(now, v, w.request, false)})
+				out = append(out, d)
 				continue
 			}
 		}
@@ -87,16 +122,19 @@
 			continue
 		}
 		ahead.add(p.workOf(now, w.request.Rule))
+		left = append(left, w)
 	}
+	p.queue.front.reset(left)
 	return out
 }
 
-// serviceOrder returns the queued requests in the order in which they are to be served.
-func (p *Pool) serviceOrder(now time.Time) []waiter {
+// serviceOrder returns queued requests, which are sorted by ticket, in the order in which they
+// are to be served.
+func (p *Pool) serviceOrder(now time.Time, waiters []*waiter) []*waiter {
 	if p.ledger != nil {
-		return p.orderByCost(now)
+		return p.orderByCost(now, waiters)
 	}
-	return p.queue.inServiceOrder(func(r Request) bool { return p.missesTarget(now, r) })
+	return p.queue.inServiceOrder(waiters, func(r Request) bool { return p.missesTarget(now, r) })
 }
 
 // refuseEvicted refuses a request that was evicted from the queue.
--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -370,7 +370,7 @@
 			return true
 		}
 	}
-	return slices.ContainsFunc(p.queue.waiters, func(w waiter) bool { return w.request.Key == k })
+	return slices.ContainsFunc(p.queue.waiters, func(w *waiter) bool { return w.request.Key == k })
 }
 
 // Grant returns a grant that has not been released.
--- a/pkg/pool/pool_test.go
+++ b/pkg/pool/pool_test.go
@@ -23,7 +23,10 @@
 }
 
 func newPoolWithFloor(servers, slots int, floor func(int) int) *pool.Pool {
-	set := pool.Settings{ScoreThreshold: 10, Retry: pool.DefaultRetryLimits, Floor: floor}
+	return newPoolWith(servers, slots, pool.Settings{ScoreThreshold: 10, Retry: pool.DefaultRetryLimits, Floor: floor})
+}
+
+func newPoolWith(servers, slots int, set pool.Settings) *pool.Pool {
 	p := pool.New(start, "s", set)
 	var members []pool.Member
 	for i := range servers {
--- a/pkg/pool/queue.go
+++ b/pkg/pool/queue.go
@@ -23,36 +23,76 @@
 // those that can still meet their target come first; then accounts take turns; then
 // requests are served in order of arrival.
 type queue struct {
-	next     Ticket
-	waiters  []waiter                    // Sorted by ticket.
-	lastTurn map[site.AccountName]Ticket // The turn in which an account was last served.
-	turns    Ticket                      // Number of requests served.
-	evicted  []waiter                    // Evicted since the last call of takeEvicted.
+	next       Ticket
+	waiters    []*waiter // Sorted by ticket.
+	byPriority map[int]*waiterCount
+	byAccount  map[site.AccountName]int
+	lastTurn   map[site.AccountName]Ticket // The turn in which an account was last served.
+	turns      Ticket                      // Number of requests served.
+	evicted    []*waiter                   // Evicted since the last call of takeEvicted.
+	front      front
 }
 
-func newQueue() queue { return queue{lastTurn: make(map[site.AccountName]Ticket)} }
+// waiterCount counts the waiters of one priority.
+type waiterCount struct {
+	total     int
+	byAccount map[site.AccountName]int
+}
+
+func newQueue() queue {
+	return queue{
+		byPriority: make(map[int]*waiterCount), byAccount: make(map[site.AccountName]int),
+		lastTurn: make(map[site.AccountName]Ticket),
+	}
+}
 
 func (q *queue) len() int { return len(q.waiters) }
 
 // push appends a request to the queue.
 func (q *queue) push(r Request, waitLimit time.Time) Ticket {
 	q.next++
-	q.waiters = append(q.waiters, waiter{q.next, r, waitLimit})
+	w := &waiter{ticket: q.next, request: r, waitLimit: waitLimit}
+	q.waiters = append(q.waiters, w)
+	q.front.add(w)
+	q.count(r, 1)
 	return q.next
 }
 
+// count counts n more waiters like a request.
+func (q *queue) count(r Request, n int) {
+	c, ok := q.byPriority[r.Priority]
+	if !ok {
+		c = &waiterCount{byAccount: make(map[site.AccountName]int)}
+		q.byPriority[r.Priority] = c
+	}
+	c.total += n
+	c.byAccount[r.Account] += n
+	q.byAccount[r.Account] += n
+	if c.byAccount[r.Account] == 0 {
+		delete(c.byAccount, r.Account)
+	}
+	if c.total == 0 {
+		delete(q.byPriority, r.Priority)
+	}
+	if q.byAccount[r.Account] == 0 {
+		delete(q.byAccount, r.Account)
+		delete(q.lastTurn, r.Account)
+	}
+}
+
 // rankedWaiter is a waiter with its sort keys.
 type rankedWaiter struct {
-	waiter
+	*waiter
 	missesTarget bool // The request will most likely miss its target.
 	rank         int  // Position among the waiters of the same account.
 }
 
-// inServiceOrder returns the waiters in the order in which they are served.
-func (q *queue) inServiceOrder(missesTarget func(Request) bool) []waiter {
-	ranked := make([]rankedWaiter, len(q.waiters))
+// inServiceOrder returns waiters, which are sorted by ticket, in the order in which they are
+// served.
+func (q *queue) inServiceOrder(waiters []*waiter, missesTarget func(Request) bool) []*waiter {
+	ranked := make([]rankedWaiter, len(waiters))
 	ranks := make(map[site.AccountName]int)
-	for i, w := range q.waiters {
+	for i, w := range waiters {
 		ranked[i] = rankedWaiter{w, missesTarget(w.request), ranks[w.request.Account]}
 		ranks[w.request.Account]++
 	}
@@ -65,7 +105,7 @@
 			cmp.Compare(a.ticket, b.ticket),
 		)
 	})
-	out := make([]waiter, len(ranked))
+	out := make([]*waiter, len(ranked))
 	for i := range ranked {
 		out[i] = ranked[i].waiter
 	}
@@ -83,28 +123,27 @@
 // of higher priority; of equal priority, all of its own account, and of each other
 // account at most one more than its own account has queued.
 func (q *queue) ahead(r Request) int {
-	own := 0
-	counts := make(map[site.AccountName]int)
 	n := 0
-	for _, w := range q.waiters {
-		switch {
-		case w.request.Priority < r.Priority:
-			n++
-		case w.request.Priority > r.Priority:
-		case w.request.Account == r.Account:
-			own++
-		default:
-			counts[w.request.Account]++
+	for priority, c := range q.byPriority {
+		if priority < r.Priority {
+			n += c.total
 		}
 	}
-	for _, c := range counts {
-		n += min(c, own+1)
+	alike, ok := q.byPriority[r.Priority]
+	if !ok {
+		return n
+	}
+	own := alike.byAccount[r.Account]
+	for account, c := range alike.byAccount {
+		if account != r.Account {
+			n += min(c, own+1)
+		}
 	}
 	return n + own
 }
 
 // serve removes a request that got a slot and records its account's turn.
-func (q *queue) serve(w waiter) {
+func (q *queue) serve(w *waiter) {
 	q.turns++
 	q.lastTurn[w.request.Account] = q.turns
 	q.remove(w.ticket)
@@ -112,16 +151,14 @@
 
 // remove removes a request from the queue.
 func (q *queue) remove(t Ticket) {
-	i, found := slices.BinarySearchFunc(q.waiters, t, func(w waiter, t Ticket) int { return cmp.Compare(w.ticket, t) })
+	i, found := slices.BinarySearchFunc(q.waiters, t, func(w *waiter, t Ticket) int { return cmp.Compare(w.ticket, t) })
 	if !found {
 		return
 	}
-	account := q.waiters[i].request.Account
+	w := q.waiters[i]
 	q.waiters = slices.Delete(q.waiters, i, i+1)
-	sameAccount := func(w waiter) bool { return w.request.Account == account }
-	if !slices.ContainsFunc(q.waiters, sameAccount) {
-		delete(q.lastTurn, account)
-	}
+	q.front.remove(w)
+	q.count(w.request, -1)
 }
 
 // evictFor evicts one waiter to make room for a request, and reports whether it did.
@@ -129,6 +166,9 @@
 // Otherwise it evicts the last waiter of the account with the most waiters of the
 // same priority, if those are more than the request's own account would have.
 func (q *queue) evictFor(r Request) bool {
+	if !q.mayEvictFor(r) {
+		return false
+	}
 	last := -1
 	for i, w := range q.waiters {
 		if w.request.Priority > r.Priority && (last < 0 || w.request.Priority >= q.waiters[last].request.Priority) {
@@ -145,6 +185,25 @@
 	return true
 }
 
+// mayEvictFor reports whether there is a waiter that evictFor would evict.
+func (q *queue) mayEvictFor(r Request) bool {
+	for priority := range q.byPriority {
+		if priority > r.Priority {
+			return true
+		}
+	}
+	alike, ok := q.byPriority[r.Priority]
+	if !ok {
+		return false
+	}
+	for _, c := range alike.byAccount {
+		if c > alike.byAccount[r.Account]+1 {
+			return true
+		}
+	}
+	return false
+}
+
 // evict removes a waiter, which is to be refused.
 func (q *queue) evict(i int) {
 	w := q.waiters[i]
@@ -175,8 +234,12 @@
 }
 
 // takeEvicted returns the waiters evicted since the last call.
-func (q *queue) takeEvicted() []waiter {
+func (q *queue) takeEvicted() []*waiter {
 	w := q.evicted
 	q.evicted = nil
 	return w
 }
+
+func sortByTicket(waiters []*waiter) {
+	slices.SortFunc(waiters, func(a, b *waiter) int { return cmp.Compare(a.ticket, b.ticket) })
+}
