--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -4,21 +4,15 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/thejerf/suture/v4"
-	"k8s.io/klog/v2"
 
-	"laburnumpick.org/pkg/account"
 	"laburnumpick.org/pkg/admission"
 	"laburnumpick.org/pkg/backend"
 	"laburnumpick.org/pkg/buffer"
@@ -47,10 +41,6 @@
 	"laburnumpick.org/pkg/telemetry"
 )
 
-// controlDialTimeout bounds dialing a connection for a control call, which is a call
-// to another VM or to the store.
-const controlDialTimeout = time.Second
-
 // journalCapacity is the number of decisions that a VM keeps in its journal.
 const journalCapacity = 4096
 
@@ -160,106 +150,6 @@
 	return d, d.writeAddresses()
 }
 
-// listeners are the open listeners of a daemon. health and metrics are nil if the
-// settings name no address for them.
-type listeners struct {
-	callers, vms, operators, health, metrics net.Listener
-}
-
-// addresses returns the addresses of the listeners.
-func (ls *listeners) addresses(set *settings.Settings) Addresses {
-	a := Addresses{
-		VM: set.VM.Name, Callers: ls.callers.Addr().String(),
-		VMs: advertised(set, ls.vms), Operators: ls.operators.Addr().String(),
-	}
-	if ls.health != nil {
-		a.Health = ls.health.Addr().String()
-	}
-	if ls.metrics != nil {
-		a.Metrics = ls.metrics.Addr().String()
-	}
-	return a
-}
-
-// listen opens all listeners. If one fails, it closes those already opened.
-func listen(set *settings.Settings, nw Network) (*listeners, error) {
-	var ls listeners
-	var open []net.Listener
-	for _, w := range []struct {
-		address string
-		dst     *net.Listener
-	}{
-		{set.Listen.Callers, &ls.callers},
-		{set.Listen.VMs, &ls.vms},
-		{set.Listen.Operators, &ls.operators},
-		{set.Listen.Health, &ls.health},
-		{set.Listen.Metrics, &ls.metrics},
-	} {
-		if w.address == "" {
-			continue
-		}
-		l, err := nw.Listen(w.address)
-		if err != nil {
-			for _, o := range open {
-				err = errors.Join(err, o.Close())
-			}
-			return nil, fmt.Errorf("listen on %s: %w", w.address, err)
-		}
-		*w.dst = l
-		open = append(open, l)
-	}
-	return &ls, nil
-}
-
-// newStore returns the store that the settings name.
-func (d *Daemon) newStore(nw Network) store.Store {
-	if d.set.Platform.URL == settings.Embedded {
-		return store.NewMemory()
-	}
-	calls := store.NewMeter(d.transport(nw))
-	calls.SetScope(d.tel.Scope.SubScope("store"))
-	return store.NewClient(d.set.Platform.URL, calls)
-}
-
-// transport returns a new transport for control calls, which closeIdleConnections
-// covers. Callers' requests never use it.
-func (d *Daemon) transport(nw Network) *http.Transport {
-	t := NewTransport(nw)
-	d.transports = append(d.transports, t)
-	return t
-}
-
-// NewTransport returns a transport for control calls.
-func NewTransport(nw Network) *http.Transport {
-	dial := nw.Dial
-	if nw.DialControl != nil {
-		dial = nw.DialControl
-	}
-	return &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			// net/http continues to dial after the request was canceled.
-			ctx, cancel := context.WithTimeout(ctx, controlDialTimeout)
-			defer cancel()
-			return dial(ctx, address)
-		},
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-	}
-}
-
-// advertised returns the address at which other VMs reach a listener.
-func advertised(set *settings.Settings, l net.Listener) string {
-	if set.Listen.Advertise == "" {
-		return l.Addr().String()
-	}
-	_, port, err := net.SplitHostPort(l.Addr().String())
-	if err != nil {
-		return l.Addr().String()
-	}
-	return net.JoinHostPort(set.Listen.Advertise, port)
-}
-
 // assemble creates the components and the tree that supervises them.
 func (d *Daemon) assemble(nw Network, p Platform, ls *listeners) {
 	set, now := d.set, time.Now()
@@ -342,12 +232,6 @@
 	d.tree.Add(traffic)
 }
 
-// vmClient returns the client of calls to other VMs.
-func (d *Daemon) vmClient(nw Network) *http.Client {
-	t := boundedTransport{nw.peer().Transport(d.transport(nw)), maxVMMessageBytes}
-	return &http.Client{Transport: fleet.HeaderStripper{Next: t}}
-}
-
 func (d *Daemon) nodeConfig(nw Network, p Platform, self roster.VM, jr *journal.Journal) fleet.Config {
 	now := time.Now()
 	cfg := fleet.Config{
@@ -381,34 +265,6 @@
 	return k.daemon.dispatcher.Await(ctx, id, a, wait)
 }
 
-// callerLimits returns the limits of callers' connections: those of the site's
-// configuration, and those of the settings where it has none.
-func (d *Daemon) callerLimits() caller.Limits {
-	lim := &d.current.Load().Limits
-	out := caller.Limits{
-		HeaderBytes: lim.HeaderBytes, BodyBytes: lim.BodyBytes, HeaderTimeout: lim.CallerTimeout,
-		BodyTimeout: lim.CallerTimeout, IdleTimeout: idleTimeout, WriteTimeout: lim.CallerTimeout,
-	}
-	s := d.replica.State().Directory.Site()
-	if s == nil {
-		return out
-	}
-	c := s.Callers
-	if c.HeaderBytes > 0 {
-		out.HeaderBytes = c.HeaderBytes
-	}
-	if c.BodyBytes > 0 {
-		out.BodyBytes = c.BodyBytes
-	}
-	if c.HeaderTimeoutMs > 0 {
-		out.HeaderTimeout = time.Duration(c.HeaderTimeoutMs) * time.Millisecond
-	}
-	if c.IdleTimeoutMs > 0 {
-		out.IdleTimeout = time.Duration(c.IdleTimeoutMs) * time.Millisecond
-	}
-	return out
-}
-
 func (d *Daemon) entryConfig(self roster.VM, keys credential.Scheme) entry.Config {
 	return entry.Config{
 		Self: self, Site: site.Name(d.set.VM.Site), Replica: d.replica,
@@ -418,29 +274,6 @@
 	}
 }
 
-// entryLimits returns the current limits of the requests that this VM accepts.
-func (d *Daemon) entryLimits() entry.Limits {
-	lim := &d.current.Load().Limits
-	return entry.Limits{
-		MaxRequests: lim.Requests, ConfirmationsPerSecond: lim.ConfirmationsPerSecond,
-		DefaultAccount: account.Limits{
-			Rate: lim.Account.Rate, Burst: lim.Account.Burst, InFlight: lim.Account.InFlight,
-		},
-	}
-}
-
-// retryLimits returns the current limits of retries.
-func (d *Daemon) retryLimits() pool.RetryLimits {
-	r := d.current.Load().Retry
-	return pool.RetryLimits{Ratio: r.Ratio, MinRetries: r.MinRetries, Window: r.Window}
-}
-
-// quotaTolerance returns what all VMs may spend beyond a quota.
-func (d *Daemon) quotaTolerance() quota.Tolerance {
-	q := d.current.Load().Quota
-	return quota.Tolerance{Window: q.Window, Overage: q.Overage, Slack: q.Slack}
-}
-
 // notReadyReason returns why this VM cannot serve callers, or "" if it can.
 func (d *Daemon) notReadyReason() string {
 	if !d.node.Synced() {
@@ -477,79 +310,3 @@
 
 // CatalogVersion returns the version of the current configuration.
 func (d *Daemon) CatalogVersion() int64 { return int64(d.replica.State().Version) }
-
-// writeAddresses writes the address file, if the settings name one.
-func (d *Daemon) writeAddresses() error {
-	if d.set.Listen.AddressFile == "" {
-		return nil
-	}
-	raw, err := json.Marshal(d.addr)
-	if err != nil {
-		return err
-	}
-	// Readers wait for the file to appear, so it is renamed once it is complete.
-	tmp := d.set.Listen.AddressFile + ".new"
-	if err := os.WriteFile(tmp, raw, 0o600); err != nil {
-		return err
-	}
-	return os.Rename(tmp, d.set.Listen.AddressFile)
-}
-
-// Stop requests a graceful stop. It returns at once.
-func (d *Daemon) Stop() { d.stopOnce.Do(func() { close(d.stopRequested) }) }
-
-// Run serves until ctx ends or Stop is called, then stops gracefully: requests in
-// flight complete first.
-func (d *Daemon) Run(ctx context.Context) error {
-	tree, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	ended := d.tree.ServeBackground(tree)
-	klog.InfoS("daemon: serving", "vm", d.addr.VM, "dataCentre", d.set.VM.DataCentre, "callers", d.addr.Callers, "vms", d.addr.VMs, "operators", d.addr.Operators)
-	select {
-	case <-ctx.Done():
-	case <-d.stopRequested:
-	case err := <-ended:
-		return err
-	}
-	err := d.drain()
-	cancel()
-	<-ended
-	d.closeIdleConnections()
-	return errors.Join(err, d.tel.Close())
-}
-
-// drain makes the health check fail, waits until the load balancer has reacted,
-// lets the requests in flight complete and writes the outcomes of claims to the
-// table. Meanwhile this VM keeps granting slots to the VMs that have not yet been
-// informed that it is leaving.
-func (d *Daemon) drain() error {
-	klog.InfoS("daemon: stopping", "vm", d.addr.VM, "inFlight", d.entry.InFlight())
-	stop := d.current.Load().Stop.Times()
-	total := stop.KeepAlive + stop.Idle + stop.Drain
-	d.entry.Stop(time.Now().Add(total))
-	ctx, cancel := context.WithTimeout(context.Background(), total+stop.Respond)
-	defer cancel()
-	go d.node.Leave(ctx)
-	time.Sleep(stop.KeepAlive)
-	d.callers.DisableKeepAlives()
-	time.Sleep(stop.Idle)
-	errs := []error{d.listener.Close(), d.callers.Shutdown(ctx)}
-	for _, s := range d.servers {
-		s.disableKeepAlives()
-		errs = append(errs, s.shutdown(ctx))
-	}
-	errs = append(errs, d.dispatcher.Flush(ctx))
-	klog.InfoS("daemon: stopped", "vm", d.addr.VM, "inFlight", d.entry.InFlight())
-	return errors.Join(errs...)
-}
-
-// closeIdleConnections closes the idle connections to backend servers and of
-// control calls.
-func (d *Daemon) closeIdleConnections() {
-	d.egress.CloseIdle()
-	for _, t := range d.transports {
-		t.CloseIdleConnections()
-	}
-}
-
-func logEvent(e suture.Event) { klog.ErrorS(nil, "daemon: supervisor event", "event", e.String()) }
