--- a/_scripts/prove.sh
+++ b/_scripts/prove.sh
@@ -10,9 +10,12 @@
 bad=0
 
 mutant() { # NAME FILE SED-EXPRESSION PACKAGE TEST
-	local name=$1 file=$2 expr=$3 pkg=$4 test=$5
-	rm -rf "$scratch/pkg"
-	cp -r "$top/pkg" "$scratch/pkg"
+	# FILE is relative to pkg, PACKAGE to the file's module.
+	local name=$1 file=$2 expr=$3 pkg=$4 test=$5 module=pkg
+	case $file$pkg in *../platform*) module=platform ;; esac
+	[ "$pkg" != ../platform ] || pkg=.
+	rm -rf "$scratch/pkg" "$scratch/platform"
+	cp -r "$top/pkg" "$top/platform" "$scratch"
 	sed -i -E "$expr" "$scratch/pkg/$file"
 	if cmp -s "$top/pkg/$file" "$scratch/pkg/$file"; then
 		echo "NOT CHANGED  $name"
@@ -20,7 +23,7 @@
 		return
 	fi
 	local out status
-	out=$(cd "$scratch/pkg" && GOWORK=off timeout 120 go test -count=1 "./$pkg" -run "$test" 2>&1)
+	out=$(cd "$scratch/$module" && GOWORK=off timeout 120 go test -count=1 "./$pkg" -run "$test" 2>&1)
 	status=$?
 	if [ $status -eq 0 ]; then
 		echo "STILL PASSES $name ($test)"
@@ -170,4 +173,18 @@
 mutant "VMs of earlier builds decide on quotas" roster/view.go 's/vms\[i\]\.Protocol < r\.protocol \|\| //' roster 'TestQuotaHomesAnnounceQuotas'
 mutant "suspected VMs count as seen" fleet/quotas.go 's/len\(v\.VMs\(\)\)-v\.Suspected\(\), len/len(v.VMs()), len/' fleet 'TestQuotaShare'
 mutant "a queue filled to the limit of the estimate" pool/waiting.go 's/waitMargin = 1\.2/waitMargin = 1.0/' pool 'TestOverloadIsRefusedOnArrival'
+mutant "names cut off" ../platform/name.go 's/digest\[:digestBytes\]/digest[:0]/' . 'TestNamesAreMapped'
+mutant "fractions of weights cut off" ../platform/manifest.go 's/\/largest\*site\.MaxWeight//' . 'TestWeightsAreProportions'
+mutant "a refused object leaves no previous one" catalog/draft.go 's/if o == nil \{/if true {/' ../platform 'TestInvalidRoute'
+mutant "a server's start decides however late it is" registry/registry.go 's/e\.Server\.StartedMs > latestStart \|\| /false \&\& e.Server.StartedMs > latestStart || /' registry 'TestImplausibleEntries'
+mutant "a sequence number decides however far it is" registry/order.go 's/ \&\& o\.seq-e\.Seq <= maxDelayedWrites//' registry 'TestImplausibleEntries'
+mutant "revisions compared without the era" registry/order.go 's/min\(era, MaxEra\)<<eraShift/0 * min(era, MaxEra)<<eraShift/' registry 'TestRevisionsOfALaterEra'
+mutant "positions of another era read on" ../platform/client.go 's/after\.era != c\.eras\.present\(\)/false/; s/p\.Era != after\.era/false/' . 'TestRemovalsAfterAStore|TestConfigurationAfterAStore'
+mutant "writes across eras" ../platform/fleet_store.go 's/expect != 0 \&\& at\.era/false \&\& at.era/' . 'TestRevisionOfAnEarlierEra'
+mutant "VMs register once" fleet/sync.go 's/ \|\| era > n\.registeredIn//' ../platform 'TestVMRegistersAgain'
+mutant "a server that is back is told by no reader that has not missed it" registry/registry.go 's/wasMissing \|\| now\.Before\(r\.recoversUntil\)/wasMissing/' registry 'TestServerThatIsBack'
+mutant "large bodies take all room" buffer/budget.go 's/return b\.limit - b\.limit\/reservedShare/return b.limit/' buffer 'TestLargeBodies'
+mutant "slow senders keep their room" buffer/budget.go 's/age < minAge \|\| a\.held == 0/true/' caller 'TestSlowSenders'
+mutant "responses not counted" buffer/read.go 's/!r\.account\.Reserve\(next\)/false/' backend 'TestEndlessBodies'
+mutant "late requests of a planned stop passed on" entry/entry.go 's/if end == nil \|\| now/if end != nil || end == nil || now/' trial 'TestPlannedStops'
 exit $bad
