buffer: the room that is kept for small bodies is for each body's first 16 KiB

Steps of up to 64 KiB of bodies that never end counted as small and took the whole budget. Change: only the first buffer of a body may use all of it.

--- a/pkg/buffer/budget.go
+++ b/pkg/buffer/budget.go
@@ -15,10 +15,12 @@
 
 // Limits of a budget.
 const (
-	// smallBytes is the size up to which a reservation may use the whole budget. Larger ones
-	// leave reservedShare of it, so that large bodies do not stop small requests.
-	smallBytes    = 64 << 10
+	// firstBytes is the size of the first buffer of a body, which may use the whole budget. Larger
+	// ones leave reservedShare of it, so that large bodies do not stop small ones.
+	firstBytes    = 16 << 10
 	reservedShare = 8 // One part in so many.
+	// lateBytes is the size of the largest buffer of a request that has ended.
+	lateBytes = 64 << 10
 	// minRate is the rate, in bytes per second, below which a sender may lose its room to others.
 	minRate = 16 << 10
 	// minAge is the time that a sender has before its rate counts.
@@ -63,7 +65,7 @@
 
 // available returns how much of an empty budget a reservation of n bytes may use.
 func (b *Budget) available(n int64) int64 {
-	if n <= smallBytes {
+	if n <= firstBytes {
 		return b.limit
 	}
 	return b.limit - b.limit/reservedShare
@@ -108,7 +110,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if a.closed {
-		return n <= smallBytes
+		return n <= lateBytes
 	}
 	if b.used+n > b.available(n) {
 		return false
--- a/pkg/buffer/read.go
+++ b/pkg/buffer/read.go
@@ -5,10 +5,6 @@
 	"io"
 )
 
-// firstBytes is the size of the first buffer of a body. A body of known length gets its whole
-// buffer once it has filled the first one.
-const firstBytes = 16 << 10
-
 // Read reads a body to its end, of at most maxBytes. length is the body's length, or negative if
 // it is not known. It reserves the bytes in the account, which may be nil. ended is false if the
 // body is longer than maxBytes or if there is no room for more; what was read is returned then.
@@ -62,7 +58,8 @@
 	return true
 }
 
-// nextCapacity returns the capacity after had. A body of known length is copied only once.
+// nextCapacity returns the capacity after had. A body of known length gets its whole buffer once it
+// has filled the first one, so it is copied only once.
 func (r *reading) nextCapacity(had int64) int64 {
 	switch {
 	case had == 0:
