--- a/pkg/caller/body_test.go
+++ b/pkg/caller/body_test.go
@@ -100,3 +100,24 @@
 		assert.Equal(t, u.status(), http.StatusOK)
 	})
 }
+
+// TestHeadBufferGrowsWithTheHead guards against connections that each hold memory for the largest
+// head that the configuration allows, although theirs is small.
+func TestHeadBufferGrowsWithTheHead(t *testing.T) {
+	const largest = 64 << 20
+	for _, size := range []int{100, readSize, 3 * readSize, 40 * readSize} {
+		head := "GET /x0s HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", size) + "\r\n\r\n"
+		client, server := net.Pipe()
+		go func() { _, _ = io.WriteString(client, head) }() // Ends with the pipe.
+		c := newConn(New(Config{}), server)
+		_, err := c.r.Peek(1)
+		assert.NilError(t, err)
+		assert.NilError(t, c.readHead(largest))
+		assert.Assert(t, c.r.Size() <= max(readSize, 2*len(head)), "%d bytes for a head of %d", c.r.Size(), len(head))
+		req, err := http.ReadRequest(c.r)
+		assert.NilError(t, err)
+		assert.Equal(t, len(req.Header.Get("X")), size)
+		assert.NilError(t, client.Close())
+		assert.NilError(t, server.Close())
+	}
+}
--- a/pkg/caller/head.go
+++ b/pkg/caller/head.go
@@ -39,7 +39,7 @@
 			return nil
 		}
 		if len(b) == c.r.Size() {
-			c.grow(limit)
+			c.grow(min(2*len(b), limit+readSize))
 		}
 		if _, err := c.r.Peek(len(b) + 1); err != nil {
 			return headerReadError(err)
@@ -47,10 +47,10 @@
 	}
 }
 
-// grow replaces the reader by one whose buffer holds the largest allowed header.
-func (c *conn) grow(limit int) {
+// grow replaces the reader by one with a larger buffer.
+func (c *conn) grow(size int) {
 	buffered, _ := c.r.Peek(c.r.Buffered()) // Cannot fail: these bytes are buffered.
-	c.r = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.nc), limit+readSize)
+	c.r = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.nc), size)
 }
 
 // headerReadError classifies a read error in the middle of a header.
--- a/pkg/pool/admission_load_test.go
+++ b/pkg/pool/admission_load_test.go
@@ -349,6 +349,7 @@
 // TestAccountsGetEqualServerTime guards against an account that gets more of the servers
 // than another by sending more expensive requests.
 func TestAccountsGetEqualServerTime(t *testing.T) {
+	t.Parallel()
 	expensive, cheap := settlements(steady(60)), settlements(steady(240))
 	expensive.account, expensive.rule, expensive.work = "expensive", "expensive", 320*time.Millisecond
 	cheap.account, cheap.rule, cheap.work = "cheap", "cheap", 80*time.Millisecond
@@ -400,6 +401,7 @@
 // TestOverloadIsRefusedOnArrival guards against requests that are queued to the limit of
 // what the estimated wait allows, and refused after seconds because it varies.
 func TestOverloadIsRefusedOnArrival(t *testing.T) {
+	t.Parallel()
 	k := lookups(steady(600))
 	k.work, k.target, k.deadline = 40*time.Millisecond, 3*time.Second, 3*time.Second
 	s := playLoad(overload{kinds: []requestKind{k}, servers: 4, slots: 2, length: 6 * time.Second}, admission.CostAware, 1)
@@ -436,6 +438,7 @@
 // TestNoKindIsServedLessThanALessUrgentOne guards against urgent requests that are
 // refused, because they cannot wait for long, while less urgent ones wait and are served.
 func TestNoKindIsServedLessThanALessUrgentOne(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(randomLoads) {
 		l := randomLoad(seed)
 		s := playLoad(l, admission.CostAware, seed)
--- a/pkg/pool/admission_test.go
+++ b/pkg/pool/admission_test.go
@@ -89,6 +89,7 @@
 // TestFullQueueGivesUpTheLeastCostly guards against an urgent request that is refused
 // because the queue holds its greatest number of less urgent ones.
 func TestFullQueueGivesUpTheLeastCostly(t *testing.T) {
+	t.Parallel()
 	p := newCostAwarePool(t)
 	r := aRequest("a")
 	r.Rule, r.Priority = "short", 3
--- a/pkg/pool/explain_internal_test.go
+++ b/pkg/pool/explain_internal_test.go
@@ -225,6 +225,7 @@
 // TestExplainIsTheNextDecision guards against an explanation that differs from the decision that
 // follows, and against one that changes anything in the pool.
 func TestExplainIsTheNextDecision(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		h := newHistory(t)
 		for range rapid.IntRange(0, 40).Draw(t, "steps") {
--- a/pkg/pool/floor_test.go
+++ b/pkg/pool/floor_test.go
@@ -193,6 +193,7 @@
 // TestSoundServersAreUsedThoughOthersFail guards against sound servers that get no
 // requests for two seconds, because they failed some time before (issue 17).
 func TestSoundServersAreUsedThoughOthersFail(t *testing.T) {
+	t.Parallel()
 	for _, l := range []load{
 		{name: "at most once", servers: 50, dataCentres: 4, rate: 210, work: 220 * time.Millisecond, timeout: 2500 * time.Millisecond},
 		{name: "mostly repeatable", servers: 30, dataCentres: 4, rate: 100, repeatable: 0.95, work: 300 * time.Millisecond, timeout: 1500 * time.Millisecond},
--- a/pkg/pool/limit_test.go
+++ b/pkg/pool/limit_test.go
@@ -40,6 +40,7 @@
 // no window does it get more than its limit allows and one burst, whatever the requests
 // are (reads, retries, requests that may run once, probes of a suspected server).
 func TestLimitIsAPaceInEachWindow(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		rate := rapid.SampledFrom([]float64{0, 0.2, 0.4, 1, 2.1, 7, 40}).Draw(rt, "rate")
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
--- a/pkg/pool/locality_test.go
+++ b/pkg/pool/locality_test.go
@@ -35,6 +35,7 @@
 // because a server there has had none for a while, and against servers that get none for so
 // long that the service falls below its floor.
 func TestRequestsStayInTheirDataCentre(t *testing.T) {
+	t.Parallel()
 	for _, l := range localityLoads {
 		t.Run(l.name, func(t *testing.T) { l.check(t) })
 	}
