--- a/_scripts/unit.sh
+++ b/_scripts/unit.sh
@@ -7,8 +7,8 @@
 # The package whose tests run whole fleets. Its tests are spread over processes, since the race
 # detector keeps memory for what has ended until its process ends.
 fleets=trial
-processes=16
-atOnce=3
+processes=40
+atOnce=5
 top=$(cd "$(dirname "$0")/.." && pwd)
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
