--- a/pkg/fleet/tables.go
+++ b/pkg/fleet/tables.go
@@ -44,6 +44,7 @@
 	currentAt   time.Time       // Time at which the copy was last known to be current.
 	failures    int             // Failed reads in a row.
 	retryAt     time.Time       // No read before this time, after failed reads.
+	listReadAt  time.Time       // When this VM last read the list of servers.
 	sentVersion catalog.Version // Version of the configuration last sent to all VMs.
 	revisions   []revisionMark  // Registry revisions within changesWindow, the oldest first.
 	unreachable bool            // The last read failed.
@@ -72,17 +73,42 @@
 	}
 }
 
+// unknownEra is the era before the tables have been read.
+const unknownEra = -1
+
 // reportRegistry logs changes of registered servers and updates the registry's
-// metrics.
+// metrics. It signals that the store's era has risen.
 func (n *Node) reportRegistry() {
 	revision := n.cfg.Registry.State().Revision
+	if era := revision.Era(); revision > 0 && era > n.reportedEra {
+		if n.reportedEra != unknownEra {
+			n.reportEraRise(era)
+		}
+		n.reportedEra = era
+	}
 	for _, c := range n.cfg.Registry.TakeChanges() {
+		if c.Event == registry.Implausible {
+			n.cfg.Scope.Counter("registrationsImplausible").Inc(1)
+		}
 		record.Log("fleet: registered server", "news", c.Event, "service", c.Service, "server", c.Server, "registry", revision)
 	}
-	n.cfg.Scope.Gauge("registryRevision").Update(float64(revision))
+	n.cfg.Scope.Gauge("registryRevision").Update(float64(revision.Number()))
+	n.cfg.Scope.Gauge("storeEra").Update(float64(revision.Era()))
 	n.cfg.Scope.Gauge("platformAgeSeconds").Update(n.PlatformAge(time.Now()).Seconds())
 }
 
+// reportEraRise logs that the store has come back from an older copy, and has this VM register
+// again.
+func (n *Node) reportEraRise(era int64) {
+	record.Log("fleet: the platform's store has come back from an older copy; registering again", "era", era, "previousEra", n.reportedEra)
+	n.cfg.Journal.Add(time.Now(), "store", fmt.Sprintf("came back from an older copy: era %d after %d", era, n.reportedEra))
+	n.cfg.Scope.Counter("storeEraRises").Inc(1)
+	select {
+	case n.eraRose <- struct{}{}:
+	default:
+	}
+}
+
 // readerRank returns this VM's place among the readers, starting at 0, or false
 // if it is not one of them.
 func (n *Node) readerRank() (int, bool) {
@@ -138,6 +164,7 @@
 // syncTables reads the tables and, if this VM has a reader rank, sends the state
 // to all others. Failed reads are retried with exponential back-off.
 func (n *Node) syncTables(ctx context.Context) {
+	before := n.cfg.Registry.State().Revision
 	asOf, err := n.readTables(ctx)
 	n.syncMu.Lock()
 	s := &n.syncState
@@ -161,7 +188,7 @@
 		record.Log("fleet: reading the platform's tables again", "away", asOf.Sub(lastCurrent).Round(time.Millisecond))
 	}
 	if _, ranked := n.readerRank(); ranked {
-		n.sendStateToAll(ctx, asOf)
+		n.sendStateToAll(ctx, asOf, before)
 	}
 }
 
@@ -187,7 +214,7 @@
 	if n.cfg.Servers == nil {
 		return now, nil
 	}
-	u, err := n.cfg.Servers.Read(ctx, n.cfg.Registry.State().Revision)
+	u, err := n.cfg.Servers.Read(ctx, n.readFrom(now))
 	if err != nil {
 		return time.Time{}, fmt.Errorf("reading the registered servers: %w", err)
 	}
@@ -195,6 +222,21 @@
 	return now, nil
 }
 
+// readFrom returns the revision from which the list of servers is read. A VM that has not read it
+// for a while reads all of it: the one that did may have stopped before it told which servers
+// have not registered again after an outage.
+func (n *Node) readFrom(now time.Time) registry.Revision {
+	n.syncMu.Lock()
+	defer n.syncMu.Unlock()
+	s := &n.syncState
+	fresh := now.Sub(s.listReadAt) <= changesWindow
+	s.listReadAt = now
+	if !fresh {
+		return 0
+	}
+	return n.cfg.Registry.State().Revision
+}
+
 // reportConfigInForce logs and publishes the version of the configuration that
 // came into force, and its source.
 func (n *Node) reportConfigInForce(v catalog.Version, from string) {
@@ -203,8 +245,9 @@
 }
 
 // sendStateToAll sends this VM's versions to all other VMs, with the recent
-// changes of the registry and, if it is new, the configuration.
-func (n *Node) sendStateToAll(ctx context.Context, asOf time.Time) {
+// changes of the registry and, if it is new, the configuration. before is the registry's revision
+// before the last read.
+func (n *Node) sendStateToAll(ctx context.Context, asOf time.Time, before registry.Revision) {
 	st := n.cfg.Replica.State()
 	req := &fleetapi.LevelRequest{
 		From: string(n.cfg.Self.Name), Address: n.cfg.Self.Address, CatalogVersion: int64(st.Version),
@@ -212,7 +255,7 @@
 	n.syncMu.Lock()
 	fresh := st.Version > n.syncState.sentVersion
 	n.syncState.sentVersion = st.Version
-	baseRevision := n.syncState.baseRevision(asOf, n.cfg.Registry.State().Revision)
+	baseRevision := n.syncState.baseRevision(asOf, before)
 	n.syncMu.Unlock()
 	if n.cfg.Servers != nil {
 		req.Servers = fleetapi.FromRegistry(n.cfg.Registry.Since(asOf, baseRevision))
@@ -225,10 +268,11 @@
 	}
 }
 
-// baseRevision records the current revision and returns the one from changesWindow
-// ago. Changes since then are sent.
-func (s *syncState) baseRevision(now time.Time, present registry.Revision) registry.Revision {
-	s.revisions = append(s.revisions, revisionMark{now, present})
+// baseRevision records the revision before a read and returns the one from changesWindow
+// ago. Changes since then are sent: those of a VM's first read as reader too, since the reader
+// before may not have sent them.
+func (s *syncState) baseRevision(now time.Time, before registry.Revision) registry.Revision {
+	s.revisions = append(s.revisions, revisionMark{now, before})
 	for len(s.revisions) > 1 && now.Sub(s.revisions[1].at) > changesWindow {
 		s.revisions = s.revisions[1:]
 	}
@@ -309,9 +353,11 @@
 		n.fetchIfBehind(vm, 0, registry.Revision(req.GetServers().GetRevision()))
 	}
 	n.fetchIfBehind(vm, catalog.Version(req.GetCatalogVersion()), 0)
-	n.syncMu.Lock()
-	n.syncState.currentAt = now
-	n.syncMu.Unlock()
+	if n.isOfPresentEra(req.GetServers()) {
+		n.syncMu.Lock()
+		n.syncState.currentAt = now
+		n.syncMu.Unlock()
+	}
 	if req.GetPassOn() {
 		go n.passOnState(now, vm.Name, req)
 	}
@@ -321,6 +367,12 @@
 	}, nil
 }
 
+// isOfPresentEra reports whether a VM that sent the list of servers has read it in the era that
+// this VM knows. One of an earlier build knows no eras, and what it sends is ignored.
+func (n *Node) isOfPresentEra(list *fleetapi.ServerList) bool {
+	return n.cfg.Servers == nil || registry.Revision(list.GetRevision()).Era() >= n.cfg.Registry.State().Revision.Era()
+}
+
 // loadSnapshot puts a compressed configuration from another VM into force, if
 // there is one and it is newer.
 func (n *Node) loadSnapshot(now time.Time, raw []byte, from string) error {
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -20,9 +20,6 @@
 	"laburnumpick.org/pkg/site"
 )
 
-// Revision numbers the states of the list in ascending order.
-type Revision int64
-
 // Entry describes one registered server.
 type Entry struct {
 	Service  site.ServiceName
@@ -34,15 +31,6 @@
 	Seq int64
 }
 
-// olderThan reports whether the entry was made before one of the same server with
-// the given start time and sequence number.
-func (e Entry) olderThan(started, seq int64) bool {
-	if e.Server.StartedMs != started {
-		return e.Server.StartedMs < started
-	}
-	return e.Seq < seq
-}
-
 // sameContent reports whether two entries are equal, apart from their sequence
 // numbers and the time for which the server is still cold.
 func (e Entry) sameContent(o Entry) bool {
@@ -79,6 +67,7 @@
 	Entry
 	revision     Revision  // Of the entry's last change.
 	coldUntil    time.Time // When the server stops being slow after its start.
+	listedAt     time.Time // When an update last had the entry.
 	missingSince time.Time // When the list first lacked it; zero if the list has it.
 }
 
@@ -86,8 +75,7 @@
 type removal struct {
 	revision Revision
 	at       time.Time
-	started  int64
-	seq      int64
+	order    order
 }
 
 // State is an immutable snapshot of a replica.
@@ -126,6 +114,7 @@
 	removals       map[site.ServerName]removal
 	pendingChanges []Change  // Since the last TakeChanges.
 	lastUpdate     time.Time // When Apply last got an update without a gap.
+	recoversUntil  time.Time // Until when servers register again after an outage.
 	compactedUpTo  Revision  // Newest revision of a removal that was dropped.
 }
 
@@ -139,20 +128,23 @@
 // State returns the current snapshot.
 func (r *Replica) State() *State { return r.state.Load() }
 
-// Apply applies an update; an update that is not newer than the replica changes
-// nothing. It returns false if the update starts after the replica's revision: the
+// Apply applies an update; an update that is older than the replica, or as old and without the
+// full list, changes nothing. It returns false if the update starts after the replica's revision: the
 // changes in between are missing, and the caller must get the full list.
 func (r *Replica) Apply(now time.Time, u Update) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if cur := r.state.Load().Revision; u.Revision < cur || (u.Revision == cur && cur > 0) {
+	if cur := r.state.Load().Revision; u.Revision < cur || (u.Revision == cur && cur > 0 && !u.Full) {
 		r.lastUpdate = now
 		return true
 	} else if !u.Full && u.Since > cur {
 		return false
 	}
-	afterOutage := !r.lastUpdate.IsZero() && now.Sub(r.lastUpdate) > outageThreshold
+	if r.isAfterOutage(now, u.Revision) {
+		r.recoversUntil = now.Add(reregisterGrace)
+	}
 	r.lastUpdate = now
+	u = r.withoutImplausible(now, u)
 	listed := make(map[site.ServerName]bool, len(u.Entries))
 	changed := false
 	for _, e := range u.Entries {
@@ -160,7 +152,7 @@
 		changed = r.put(now, e, u.Revision) || changed
 	}
 	for _, n := range r.removedServers(u, listed) {
-		changed = r.removeOrMarkMissing(now, n, u.Revision, afterOutage) || changed
+		changed = r.removeOrMarkMissing(now, n, u.Revision) || changed
 	}
 	if u.Full {
 		// What was removed before is not known, apart from the servers that were held here.
@@ -170,6 +162,35 @@
 	return true
 }
 
+// isAfterOutage reports whether an entry's absence from an update may mean that its server
+// could not renew it, or that the platform has lost it by going back to an older copy.
+func (r *Replica) isAfterOutage(now time.Time, next Revision) bool {
+	cur := r.state.Load().Revision
+	return !r.lastUpdate.IsZero() && (now.Sub(r.lastUpdate) > outageThreshold || next.Era() > cur.Era())
+}
+
+// withoutImplausible returns an update without the entries that no server can have made. They
+// count as removed.
+func (r *Replica) withoutImplausible(now time.Time, u Update) Update {
+	latestStart := now.Add(maxClockSkew).UnixMilli()
+	isImplausible := func(e Entry) bool { return e.Server.StartedMs > latestStart || e.Seq < 0 }
+	if !slices.ContainsFunc(u.Entries, isImplausible) {
+		return u
+	}
+	u.Removed = slices.Clone(u.Removed)
+	var valid []Entry
+	for _, e := range u.Entries {
+		if !isImplausible(e) {
+			valid = append(valid, e)
+			continue
+		}
+		u.Removed = append(u.Removed, e.Server.Name)
+		r.recordChange(Implausible, e)
+	}
+	u.Entries = valid
+	return u
+}
+
 // removedServers returns the servers that an update removes.
 func (r *Replica) removedServers(u Update, listed map[site.ServerName]bool) []site.ServerName {
 	if !u.Full {
@@ -186,25 +207,25 @@
 
 // put stores an entry and reports whether it changed the replica.
 func (r *Replica) put(now time.Time, e Entry, rev Revision) bool {
-	if removed, ok := r.removals[e.Server.Name]; ok && e.olderThan(removed.started, removed.seq+1) {
+	if removed, ok := r.removals[e.Server.Name]; ok && (e.wasMadeBefore(removed.order) || e.order() == removed.order) {
 		return false // A delayed write of a server that has been removed.
 	}
 	rec, ok := r.records[e.Server.Name]
-	if ok && e.olderThan(rec.Server.StartedMs, rec.Seq) {
+	if ok && e.wasMadeBefore(rec.order()) {
 		return false
 	}
 	delete(r.removals, e.Server.Name)
 	if ok && rec.sameContent(e) {
-		rec.Seq = e.Seq
-		if rec.missingSince.IsZero() {
-			return false
+		rec.Seq, rec.listedAt = e.Seq, now
+		wasMissing := !rec.missingSince.IsZero()
+		if wasMissing || now.Before(r.recoversUntil) {
+			// Other replicas may miss it too, so Since reports it to them.
+			rec.missingSince, rec.revision = time.Time{}, rev
 		}
-		rec.missingSince = time.Time{}
-		rec.revision = rev // So that Since reports to other replicas that it is back.
-		return true
+		return wasMissing
 	}
 	r.recordChange(eventFor(rec, e), e)
-	r.records[e.Server.Name] = &record{Entry: e, revision: rev, coldUntil: now.Add(e.ColdFor)}
+	r.records[e.Server.Name] = &record{Entry: e, revision: rev, coldUntil: now.Add(e.ColdFor), listedAt: now}
 	return true
 }
 
@@ -222,18 +243,17 @@
 }
 
 // removeOrMarkMissing removes a server that the list no longer has and reports
-// whether it did. After an outage it only records since when the server is missing;
-// Expire removes it later.
-func (r *Replica) removeOrMarkMissing(now time.Time, n site.ServerName, rev Revision, afterOutage bool) bool {
+// whether it did. If the server has not registered again yet after an outage it only records that it
+// is missing; Expire removes it later.
+func (r *Replica) removeOrMarkMissing(now time.Time, n site.ServerName, rev Revision) bool {
 	rec, ok := r.records[n]
-	if !ok {
+	if !ok || !rec.missingSince.IsZero() {
 		return false
 	}
-	if afterOutage || !rec.missingSince.IsZero() {
-		if rec.missingSince.IsZero() {
-			rec.missingSince = now
-			r.recordChange(Missing, rec.Entry)
-		}
+	returned := r.recoversUntil.Add(-reregisterGrace)
+	if now.Before(r.recoversUntil) && rec.listedAt.Before(returned) {
+		rec.missingSince = returned
+		r.recordChange(Missing, rec.Entry)
 		return false
 	}
 	r.remove(now, n, rev)
@@ -246,7 +266,7 @@
 	rec := r.records[n]
 	r.recordChange(Removed, rec.Entry)
 	delete(r.records, n)
-	r.removals[n] = removal{rev, now, rec.Server.StartedMs, rec.Seq}
+	r.removals[n] = removal{rev, now, rec.order()}
 }
 
 // Expire removes the servers that did not register again in time and drops old
@@ -297,16 +317,13 @@
 }
 
 // Since returns the changes after a revision, or the full list if the revision is zero
-// or the replica no longer has all removals since then.
+// or the replica no longer has all removals since then. A server that is missing is still in
+// use, so that is not told.
 func (r *Replica) Since(now time.Time, since Revision) Update {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	u := Update{Since: since, Revision: r.state.Load().Revision, Full: since < r.compactedUpTo || since == 0}
-	for n, rec := range r.records {
-		if !rec.missingSince.IsZero() {
-			u.Removed = append(u.Removed, n)
-			continue
-		}
+	for _, rec := range r.records {
 		if u.Full || rec.revision > since {
 			e := rec.Entry
 			e.ColdFor = max(0, rec.coldUntil.Sub(now))
@@ -333,6 +350,9 @@
 	Draining   Event = "leaving" // It is shutting down.
 	Missing    Event = "missing" // The list lacks it after an outage; it may register again.
 	Removed    Event = "gone"    // It is no longer in use.
+	// Implausible means that its entry holds a start in the future or a negative sequence
+	// number, and was ignored.
+	Implausible Event = "implausible"
 )
 
 // Change is a change of one server, for the event log.
