socket, standin: what has arrived on a connection in a package of its own; tests' connections can be half closed

Callers' connections need the check that backend servers' connections have (IsQuiet), also on connections that are wrapped for the limits. Its test moves with it. The connections of the tests' network had no CloseWrite, so that no test in virtual time ever ran the reading after a half close (caller.conn.linger).

No change of behaviour. Tests of socket, backend, caller and standin pass.

--- a/pkg/backend/backend_test.go
+++ b/pkg/backend/backend_test.go
@@ -356,25 +356,3 @@
 		assert.Equal(t, p.requests.Load(), int64(0))
 	})
 }
-
-// TestQuietConnectionThatIsBeingRead guards against a check of a connection that waits for the
-// goroutine that reads from it.
-func TestQuietConnectionThatIsBeingRead(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = ln.Close() }()
-	far, err := net.Dial("tcp", ln.Addr().String())
-	assert.NilError(t, err)
-	near, err := ln.Accept()
-	assert.NilError(t, err)
-	defer func() { _ = near.Close() }()
-	read := make(chan error)
-	go func() {
-		_, err := near.Read(make([]byte, 1))
-		read <- err
-	}()
-	assert.Assert(t, backend.IsQuiet(near))
-	assert.NilError(t, far.Close())
-	assert.ErrorIs(t, <-read, io.EOF)
-	assert.Assert(t, !backend.IsQuiet(near))
-}
--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -7,8 +7,9 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
+
+	"laburnumpick.org/pkg/socket"
 )
 
 // bufferSize is the size of a connection's read and write buffers in bytes.
@@ -76,38 +77,10 @@
 // allowAll lifts the limit of allowBytes.
 func (c *conn) allowAll() { c.limited = false }
 
-// peeker is implemented by connections that can report whether a read would return
-// at once, such as those of the tests' network.
-type peeker interface{ Readable() bool }
-
 // isReusable reports whether an idle connection is open and has nothing to read. A
 // connection with unexpected bytes must not be reused, because they belong to no
 // request.
-func (c *conn) isReusable() bool { return c.r.Buffered() == 0 && IsQuiet(c.nc) }
-
-// IsQuiet reports whether a connection is open as far as is known, and has nothing to read. It
-// reads nothing.
-func IsQuiet(nc net.Conn) bool {
-	if p, ok := nc.(peeker); ok {
-		return !p.Readable()
-	}
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	wouldBlock := false
-	// Control, unlike Read, does not wait for a goroutine that reads from the connection.
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		wouldBlock = e == syscall.EAGAIN
-	})
-	return err == nil && wouldBlock
-}
+func (c *conn) isReusable() bool { return c.r.Buffered() == 0 && socket.IsQuiet(c.nc) }
 
 // keepAliveShare is the share of the peer's Keep-Alive timeout that is used. It
 // leaves a margin, because the peer's idle timer started before this one.
--- a/pkg/backend/serverconn.go
+++ b/pkg/backend/serverconn.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+
+	"laburnumpick.org/pkg/socket"
 )
 
 // connKey is the context key of the connection on which a request has come.
@@ -21,5 +23,5 @@
 		return true
 	}
 	nc, ok := ctx.Value(connKey{}).(net.Conn)
-	return ok && !IsQuiet(nc)
+	return ok && !socket.IsQuiet(nc)
 }
--- a/pkg/daemon/limit.go
+++ b/pkg/daemon/limit.go
@@ -95,6 +95,9 @@
 	release func()
 }
 
+// NetConn returns the connection inside, for socket.IsQuiet.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the write side, so that the caller can read the response to
 // its end.
 func (c *limitedConn) CloseWrite() error {
--- a/pkg/standin/conn.go
+++ b/pkg/standin/conn.go
@@ -87,6 +87,11 @@
 	delete(c.network.conns, c)
 	c.network.mu.Unlock()
 	c.in.closeReader()
+	return c.CloseWrite()
+}
+
+// CloseWrite ends the stream to the peer.
+func (c *Conn) CloseWrite() error {
 	if !c.blackholed.get() && !c.dropped.get() && !c.network.IsCut(c.link) {
 		c.out.closeWriter(c.network.arrival(c.link))
 	}
