caller: requests that were read and got no complete response are counted and logged with their reason

No log or metric told of such a request: conn.linger reads and discards it, conn.enqueue returns nil, a response breaks off. caller_unanswered counts them by reason, with a log line that names the request.

--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -11,10 +11,12 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"laburnumpick.org/pkg/control"
@@ -75,6 +77,9 @@
 	h   *handler
 	s   *Server
 	net *standin.Network
+
+	limits  atomic.Pointer[Limits]
+	metrics tally.TestScope
 }
 
 // withServer runs a test on a server in virtual time. GET requests may run in
@@ -82,12 +87,16 @@
 func withServer(t *testing.T, test func(f *fixture)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := &fixture{t: t, h: &handler{}, net: standin.NewNetwork(func(standin.Link) time.Duration { return time.Millisecond })}
+		f := &fixture{
+			t: t, h: &handler{}, net: standin.NewNetwork(func(standin.Link) time.Duration { return time.Millisecond }),
+			metrics: tally.NewTestScope("", nil),
+		}
+		f.limits.Store(&limits)
 		l, err := f.net.Listen("vm:80")
 		assert.NilError(t, err)
 		f.s = New(Config{
-			Handler: f.h, Limits: func() Limits { return limits },
-			Parallel: func(r *http.Request) bool { return r.Method == http.MethodGet },
+			Handler: f.h, Limits: func() Limits { return *f.limits.Load() },
+			Parallel: func(r *http.Request) bool { return r.Method == http.MethodGet }, Scope: f.metrics,
 		})
 		go func() { _ = f.s.Serve(l) }()
 		test(f)
--- a/pkg/caller/conn.go
+++ b/pkg/caller/conn.go
@@ -68,9 +68,10 @@
 			c.refuse(err)
 			return
 		}
-		x := c.enqueue(r)
+		x, reason := c.enqueue(r)
 		if x == nil {
 			r.held.Close()
+			c.reportUnanswered(reason, r.req, nil)
 			return
 		}
 		go x.run()
@@ -188,9 +189,9 @@
 
 // enqueue appends a request to the queue. It waits until the queue has room or, for
 // a request that may not run in parallel or comes behind one of HTTP/1.0, is empty. It
-// returns nil if the connection is closing or broken; the request then counts as not
-// read.
-func (c *conn) enqueue(r received) *exchange {
+// returns nil and the reason if the connection is closing or broken; the request then
+// counts as not read.
+func (c *conn) enqueue(r received) (*exchange, unanswered) {
 	parallel := c.srv.cfg.Parallel(r.req)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -198,7 +199,7 @@
 		c.exchangeEnded.Wait()
 	}
 	if c.closing || c.broken {
-		return nil
+		return nil, c.reasonNotAccepted()
 	}
 	x := newExchange(c, r)
 	c.reading = false // Together with the next line: the connection must not look idle in between.
@@ -206,7 +207,7 @@
 	if len(c.queue) == 1 {
 		close(x.atHead)
 	}
-	return x
+	return x, ""
 }
 
 // mayEndWithResponse reports whether the response to the last request may have to end
@@ -332,7 +333,10 @@
 		return
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.Copy(io.Discard, c.nc)
+	n, err := io.Copy(io.Discard, c.nc)
+	if n > 0 {
+		c.reportUnanswered(behindLast, nil, err)
+	}
 }
 
 // allAnswered reports whether all accepted requests have been answered.
--- a/pkg/caller/exchange.go
+++ b/pkg/caller/exchange.go
@@ -33,6 +33,7 @@
 	chunked         bool
 	closeAfter      bool  // The connection closes after the response.
 	remaining       int64 // Bytes of the body that are still due by the Content-Length, or -1 without one.
+	writeError      error // The first error of Write.
 }
 
 func newExchange(c *conn, r received) *exchange {
@@ -49,24 +50,31 @@
 func (x *exchange) run() {
 	defer x.cancel()
 	defer x.held.Close()
-	complete := false
-	defer func() { x.conn.dequeue(x, complete) }()
-	complete = x.serve() && x.finish() == nil
+	err := x.serve()
+	if err == nil {
+		err = x.finish()
+	}
+	if err != nil {
+		x.conn.reportUnanswered(x.unansweredBy(err), x.req, err)
+	}
+	x.conn.dequeue(x, err == nil)
 }
 
-// serve calls the handler. It reports whether the handler returned without a panic.
-func (x *exchange) serve() (completed bool) {
+// serve calls the handler. It returns errAborted if the handler panicked.
+func (x *exchange) serve() (err error) {
 	defer func() {
-		if r := recover(); r != nil {
-			completed = false
-			if err, ok := r.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
-				// The path is left out, since it may hold a caller's credentials.
-				klog.ErrorS(nil, "caller: handler panicked", "method", x.req.Method, "cause", r)
-			}
+		r := recover()
+		if r == nil {
+			return
+		}
+		err = errAborted
+		if cause, ok := r.(error); !ok || !errors.Is(cause, http.ErrAbortHandler) {
+			// The path is left out, since it may hold a caller's credentials.
+			klog.ErrorS(nil, "caller: handler panicked", "method", x.req.Method, "cause", r)
 		}
 	}()
 	x.conn.srv.cfg.Handler.ServeHTTP(x, x.req)
-	return true
+	return nil
 }
 
 // Header implements http.ResponseWriter.
@@ -86,6 +94,16 @@
 
 // Write implements http.ResponseWriter.
 func (x *exchange) Write(p []byte) (int, error) {
+	n, err := x.write(p)
+	if x.writeError == nil {
+		x.writeError = err
+	}
+	return n, err
+}
+
+// write buffers a piece of the body, or writes it if the response's length is known or too large
+// to be buffered.
+func (x *exchange) write(p []byte) (int, error) {
 	x.WriteHeader(http.StatusOK)
 	if x.bodiless() {
 		return len(p), nil
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -19,6 +19,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"laburnumpick.org/pkg/buffer"
 )
 
@@ -41,6 +43,7 @@
 	Parallel func(*http.Request) bool
 	// Buffers bounds the bytes of all bodies that are held.
 	Buffers *buffer.Budget
+	Scope   tally.Scope // May be nil.
 }
 
 // maxPipelined is the largest number of unanswered requests of one connection.
@@ -60,6 +63,9 @@
 
 // New returns a server that serves no listener yet.
 func New(cfg Config) *Server {
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Server{cfg: cfg, ctx: ctx, cancel: cancel, conns: make(map[*conn]struct{})}
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -204,6 +204,7 @@
 	set := d.set
 	d.callers = caller.New(caller.Config{
 		Handler: d.entry, Limits: d.callerLimits, Parallel: d.entry.Parallel, Buffers: d.buffers,
+		Scope: d.tel.Scope.SubScope("caller"),
 	})
 	d.listener = newLimitListener(ls.callers, set.Limits.Connections, set.Limits.ConnectionsPerHost)
 	d.servers = []*server{
--- a/pkg/telemetry/metrics.go
+++ b/pkg/telemetry/metrics.go
@@ -27,6 +27,7 @@
 
 // Metrics lists all metrics. The operators' page is generated from it.
 var Metrics = []Metric{
+	{"caller", "unanswered", Counter, "reason", "requests", "Requests of callers that were read, at least in part, and got no complete response, by reason: behindLast (behind a response that announced the end of the connection), behindBroken (behind one that broke off), brokenOff, callerLeft, notTaken (the caller did not take the response in time), stopped (the stop of the VM ran out of time)."},
 	{"dispatch", "claims", Counter, "", "claims", "Claims of idempotency keys that this VM attempted."},
 	{"dispatch", "connects", Counter, "result", "connections", "New connections to servers that this VM tried to open, by result: connected, refused, reset, timedOut, canceled, failed."},
 	{"dispatch", "declinedGrants", Counter, "reason", "grants", "Grants of a pool's home that this VM declined because of what it knows of the server: unlisted, leaving, paused."},
