caller: a request that arrived before the idle timeout is answered, however late the VM reads it

The request had arrived before the idle timeout.

Cause: the idle timeout is a read deadline, and an expired deadline hides what the network has delivered. A process that gets no processor around the timeout (a small VM that takes in a configuration, a slow one) sees the deadline first. A planned stop asked the network once more (hasInput); the idle timeout did not.

Fix: when the deadline has passed, waitsOn asks the network itself (socket.IsQuiet), which no deadline hides, and reads on if anything is there. The same check now serves the planned stop, in place of a second read with a deadline of its own, which a late process can miss too.

--- a/pkg/caller/conn.go
+++ b/pkg/caller/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -29,9 +28,6 @@
 	lingerTimeout = 300 * time.Millisecond
 )
 
-// expiredDeadline is a deadline that makes a blocked read return.
-var expiredDeadline = time.Unix(1, 0)
-
 // conn is one caller's connection. Its goroutine reads requests; each request runs
 // in a goroutine of its own.
 type conn struct {
@@ -47,6 +43,7 @@
 	queue         []*exchange // Accepted and not yet answered, in the order of their requests.
 	reading       bool        // A request has been read, at least in part, and is not in the queue.
 	closing       bool        // No further request is accepted.
+	idleUntil     time.Time   // When it ends if no request comes.
 	closedIdle    bool        // It is closing only since it was idle; a request that had arrived by then is accepted.
 	broken        bool        // A response was truncated.
 }
@@ -112,78 +109,6 @@
 	return r, nil
 }
 
-// errIdle means that a connection without unanswered requests reached its idle
-// timeout or was closed by closeIfIdle.
-var errIdle = errors.New("idle")
-
-// awaitRequest waits for the first byte of the next request.
-func (c *conn) awaitRequest() error {
-	c.mu.Lock()
-	c.setIdleDeadline()
-	c.mu.Unlock()
-	for {
-		_, err := c.r.Peek(1)
-		if err == nil {
-			c.beginReading()
-			return nil
-		}
-		c.mu.Lock()
-		busy, closing := len(c.queue) > 0, c.closing
-		if errors.Is(err, os.ErrDeadlineExceeded) && busy && !closing {
-			c.setIdleDeadline()
-			c.mu.Unlock()
-			continue
-		}
-		closedIdle := c.closedIdle
-		c.mu.Unlock()
-		if closedIdle && c.hasInput() {
-			c.beginReading()
-			return nil
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return errIdle
-		}
-		return fmt.Errorf("%w: %w", errCallerGone, err)
-	}
-}
-
-// lastLook is how long a connection that is closed as idle is read for what has arrived.
-const lastLook = 5 * time.Millisecond
-
-// hasInput reports whether a byte has arrived on a connection whose read deadline was made to
-// expire. Such a deadline hides what the network has already delivered.
-func (c *conn) hasInput() bool {
-	_ = c.nc.SetReadDeadline(time.Now().Add(lastLook)) // A broken connection is noticed by the read.
-	_, err := c.r.Peek(1)
-	return err == nil
-}
-
-// beginReading records that a request has begun to arrive. A connection that was closed as idle
-// meanwhile accepts it.
-func (c *conn) beginReading() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.reading = true
-	if c.closedIdle {
-		c.closing, c.closedIdle = false, false
-	}
-}
-
-// setIdleDeadline sets the deadline for the first byte of the next request: the
-// idle timeout, none while requests are unanswered, or an expired one if the
-// connection is closing. The caller must hold c.mu.
-func (c *conn) setIdleDeadline() {
-	switch {
-	case c.reading:
-	case c.closing && len(c.queue) == 0:
-		_ = c.nc.SetReadDeadline(expiredDeadline)
-	case len(c.queue) > 0:
-		_ = c.nc.SetReadDeadline(time.Time{})
-	default:
-		_ = c.nc.SetReadDeadline(time.Now().Add(c.srv.cfg.Limits().IdleTimeout))
-	}
-}
-
 // errCallerGone means that the caller closed the connection, or that it broke.
 var errCallerGone = errors.New("the caller disconnected")
 
@@ -218,16 +143,6 @@
 	return n > 0 && c.queue[n-1].isHTTP10()
 }
 
-// closeIfIdle closes the connection if it has no unanswered or partly read request.
-func (c *conn) closeIfIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.queue) == 0 && !c.reading {
-		c.closing, c.closedIdle = true, true
-		_ = c.nc.SetReadDeadline(expiredDeadline)
-	}
-}
-
 // watchForClose waits until all requests have been answered. It cancels them if
 // the caller disconnects before that.
 func (c *conn) watchForClose() {
--- /dev/null
+++ b/pkg/caller/idle.go
@@ -0,0 +1,99 @@
+package caller
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"laburnumpick.org/pkg/socket"
+)
+
+// expiredDeadline is a deadline that makes a blocked read return.
+var expiredDeadline = time.Unix(1, 0)
+
+// errIdle means that a connection without unanswered requests reached its idle
+// timeout or was closed by closeIfIdle, or that its last response was written.
+var errIdle = errors.New("idle")
+
+// awaitRequest waits for the first byte of the next request.
+func (c *conn) awaitRequest() error {
+	c.mu.Lock()
+	c.setIdleDeadline()
+	c.mu.Unlock()
+	for {
+		_, err := c.r.Peek(1)
+		if err == nil {
+			c.beginReading()
+			return nil
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return fmt.Errorf("%w: %w", errCallerGone, err)
+		}
+		if !c.waitsOn(time.Now()) {
+			return errIdle
+		}
+	}
+}
+
+// waitsOn decides, after a read deadline has passed, whether to wait further for a request. Such a
+// deadline hides what the network has already delivered, however late this process reads it, so the
+// network is asked before an idle connection ends.
+func (c *conn) waitsOn(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	idle := len(c.queue) == 0
+	switch {
+	case c.closing && !c.closedIdle:
+		return false
+	case idle && !socket.IsQuiet(c.nc):
+		_ = c.nc.SetReadDeadline(time.Time{}) // A broken connection is noticed by the read.
+		return true
+	case idle && (c.closedIdle || !now.Before(c.idleUntil)):
+		c.closing, c.closedIdle = true, true
+		return false
+	default:
+		c.setIdleDeadline()
+		return true
+	}
+}
+
+// beginReading records that a request has begun to arrive. A connection that was closed as idle
+// meanwhile accepts it.
+func (c *conn) beginReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+	if c.closedIdle {
+		c.closing, c.closedIdle = false, false
+	}
+}
+
+// setIdleDeadline sets the deadline for the first byte of the next request: the
+// idle timeout, none while requests are unanswered, or an expired one if the
+// connection is closing. The caller must hold c.mu.
+func (c *conn) setIdleDeadline() {
+	switch {
+	case c.reading:
+	case c.closing && len(c.queue) == 0:
+		_ = c.nc.SetReadDeadline(expiredDeadline)
+	case len(c.queue) > 0:
+		_ = c.nc.SetReadDeadline(time.Time{})
+	default:
+		c.idleUntil = time.Now().Add(c.srv.cfg.Limits().IdleTimeout)
+		_ = c.nc.SetReadDeadline(c.idleUntil)
+	}
+}
+
+// lastLook is how long a connection that a stop closes as idle is read for requests under way.
+const lastLook = 5 * time.Millisecond
+
+// closeIfIdle closes the connection if it has no unanswered or partly read request.
+func (c *conn) closeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.queue) == 0 && !c.reading {
+		c.closing, c.closedIdle = true, true
+		_ = c.nc.SetReadDeadline(time.Now().Add(lastLook)) // A broken connection is noticed by the read.
+	}
+}
