caller: the end of an idle connection reads nothing, so a request that crosses it is not thrown away

Cause: an idle connection ended as one does after its last response: the write side was closed, and for up to 300 ms what came was read and discarded (linger). That reading protects a last response, which idle callers have long had.

Fix: such a connection is closed without reading. A request that crosses the close stays unread, and the reset tells its caller so. Only if a response was written within the last 300 ms (a planned stop) the close waits, without reading. The 5 ms in which a planned stop still takes requests under way stay as they were.

Tests: TestRequestThatCrossesAnIdleCloseIsNotRead, TestStopReadsNoRequestThatCrossesIt; on the code before, the server reads 58 bytes in each.

--- a/pkg/caller/conn.go
+++ b/pkg/caller/conn.go
@@ -43,13 +43,14 @@
 	queue         []*exchange // Accepted and not yet answered, in the order of their requests.
 	reading       bool        // A request has been read, at least in part, and is not in the queue.
 	closing       bool        // No further request is accepted.
+	idleSince     time.Time   // When it was accepted or the last queue of requests was answered.
 	idleUntil     time.Time   // When it ends if no request comes.
 	closedIdle    bool        // It is closing only since it was idle; a request that had arrived by then is accepted.
 	broken        bool        // A response was truncated.
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{srv: s, nc: nc, r: bufio.NewReaderSize(nc, readSize), w: bufio.NewWriterSize(nc, writeSize)}
+	c := &conn{srv: s, nc: nc, r: bufio.NewReaderSize(nc, readSize), w: bufio.NewWriterSize(nc, writeSize), idleSince: time.Now()}
 	c.exchangeEnded = sync.NewCond(&c.mu)
 	c.ctx, c.cancel = context.WithCancel(s.ctx)
 	return c
@@ -192,6 +193,9 @@
 	if first && len(c.queue) > 0 {
 		close(c.queue[0].atHead)
 	}
+	if len(c.queue) == 0 {
+		c.idleSince = time.Now()
+	}
 	c.setIdleDeadline()
 	c.exchangeEnded.Broadcast()
 }
@@ -231,7 +235,11 @@
 func (c *conn) shutdown() {
 	usable := c.awaitResponses()
 	c.cancel()
-	if usable {
+	switch {
+	case !usable:
+	case c.wasIdle():
+		c.awaitLastResponse(time.Now())
+	default:
 		c.linger()
 	}
 	_ = c.nc.Close()
@@ -241,7 +249,7 @@
 type writeCloser interface{ CloseWrite() error }
 
 // linger closes the write side and reads on for a while, so that the caller can
-// read the last response.
+// read the last response, which has told it that the connection ends.
 func (c *conn) linger() {
 	wc, ok := c.nc.(writeCloser)
 	if !ok || wc.CloseWrite() != nil {
--- a/pkg/caller/idle.go
+++ b/pkg/caller/idle.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"laburnumpick.org/pkg/control"
 	"laburnumpick.org/pkg/socket"
 )
 
@@ -80,7 +81,7 @@
 	case len(c.queue) > 0:
 		_ = c.nc.SetReadDeadline(time.Time{})
 	default:
-		c.idleUntil = time.Now().Add(c.srv.cfg.Limits().IdleTimeout)
+		c.idleUntil = c.idleSince.Add(c.srv.cfg.Limits().IdleTimeout)
 		_ = c.nc.SetReadDeadline(c.idleUntil)
 	}
 }
@@ -97,3 +98,24 @@
 		_ = c.nc.SetReadDeadline(time.Now().Add(lastLook)) // A broken connection is noticed by the read.
 	}
 }
+
+// wasIdle reports whether the connection ends only since it was idle.
+func (c *conn) wasIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closedIdle
+}
+
+// awaitLastResponse ends the write side of an idle connection and gives the caller time to read a response
+// that was written a moment ago. It reads nothing: the caller of a request that crosses the end of
+// the connection learns from the reset that the request was not read, and can send it again.
+func (c *conn) awaitLastResponse(now time.Time) {
+	c.mu.Lock()
+	left := c.idleSince.Add(lingerTimeout).Sub(now)
+	c.mu.Unlock()
+	wc, ok := c.nc.(writeCloser)
+	if left <= 0 || !ok || wc.CloseWrite() != nil {
+		return
+	}
+	_ = control.Sleep(c.srv.ctx, left) // A stop that runs out of time ends the wait.
+}
--- a/pkg/caller/idle_test.go
+++ b/pkg/caller/idle_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -102,3 +104,37 @@
 		l.late.Store(false)
 	})
 }
+
+// TestRequestThatCrossesAnIdleCloseIsNotRead guards against requests that were read and thrown away, since
+// they came while the VM closed their idle connection. Their callers could not know whether they ran.
+func TestRequestThatCrossesAnIdleCloseIsNotRead(t *testing.T) {
+	withWatched(t, func(f *fixture, l *watchedListener) {
+		c := f.dialWatched()
+		f.send(c, get("/0ms/first"))
+		f.readResponse(bufio.NewReader(c))
+		before := l.read.Load()
+		time.Sleep(limits.IdleTimeout - time.Millisecond - 100*time.Microsecond) // The response took a millisecond.
+		f.send(c, post("/0ms/second", "x"))
+		time.Sleep(time.Second)
+		assert.Equal(t, l.read.Load(), before)
+		assert.DeepEqual(t, f.h.list(&f.h.began), []string{"/0ms/first"})
+	})
+}
+
+// TestStopReadsNoRequestThatCrossesIt guards against the same in a planned stop, just after a response.
+func TestStopReadsNoRequestThatCrossesIt(t *testing.T) {
+	withWatched(t, func(f *fixture, l *watchedListener) {
+		c := f.dialWatched()
+		f.send(c, get("/0ms/first"))
+		r := bufio.NewReader(c)
+		f.readResponse(r)
+		before := l.read.Load()
+		go func() { _ = f.s.Shutdown(context.Background()) }()
+		time.Sleep(lastLook - 500*time.Microsecond)
+		f.send(c, post("/0ms/second", "x"))
+		_, err := r.ReadByte()
+		assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
+		time.Sleep(time.Second)
+		assert.Equal(t, l.read.Load(), before)
+	})
+}
