caller: idle connections keep to the idle timeout in force, not to the one when they became idle

Callers: a configuration raises the idle timeout; a caller that keeps to the new one finds its connection closed, or its request crosses the close.

Cause: the deadline was set once, when the connection became idle. Fix: when it passes, the end is computed by the present limits. A lowered timeout holds from the next response on.

Test: TestRaisedIdleTimeoutHoldsForIdleConnections; on the code before: write on a closed connection.

--- a/pkg/caller/conn.go
+++ b/pkg/caller/conn.go
@@ -44,7 +44,6 @@
 	reading       bool        // A request has been read, at least in part, and is not in the queue.
 	closing       bool        // No further request is accepted.
 	idleSince     time.Time   // When it was accepted or the last queue of requests was answered.
-	idleUntil     time.Time   // When it ends if no request comes.
 	closedIdle    bool        // It is closing only since it was idle; a request that had arrived by then is accepted.
 	broken        bool        // A response was truncated.
 }
--- a/pkg/caller/idle.go
+++ b/pkg/caller/idle.go
@@ -50,7 +50,7 @@
 	case idle && !socket.IsQuiet(c.nc):
 		_ = c.nc.SetReadDeadline(time.Time{}) // A broken connection is noticed by the read.
 		return true
-	case idle && (c.closedIdle || !now.Before(c.idleUntil)):
+	case idle && (c.closedIdle || !now.Before(c.idleEnd())):
 		c.closing, c.closedIdle = true, true
 		return false
 	default:
@@ -59,6 +59,10 @@
 	}
 }
 
+// idleEnd returns when the connection has been idle for long enough by the present limits, which may
+// have changed since it became idle. The caller must hold c.mu.
+func (c *conn) idleEnd() time.Time { return c.idleSince.Add(c.srv.cfg.Limits().IdleTimeout) }
+
 // beginReading records that a request has begun to arrive. A connection that was closed as idle
 // meanwhile accepts it.
 func (c *conn) beginReading() {
@@ -81,8 +85,7 @@
 	case len(c.queue) > 0:
 		_ = c.nc.SetReadDeadline(time.Time{})
 	default:
-		c.idleUntil = c.idleSince.Add(c.srv.cfg.Limits().IdleTimeout)
-		_ = c.nc.SetReadDeadline(c.idleUntil)
+		_ = c.nc.SetReadDeadline(c.idleEnd())
 	}
 }
 
--- a/pkg/caller/idle_test.go
+++ b/pkg/caller/idle_test.go
@@ -138,3 +138,22 @@
 		assert.Equal(t, l.read.Load(), before)
 	})
 }
+
+// TestRaisedIdleTimeoutHoldsForIdleConnections guards against connections that end by the idle timeout that was
+// in force when they became idle: their callers keep to the present one.
+func TestRaisedIdleTimeoutHoldsForIdleConnections(t *testing.T) {
+	withServer(t, func(f *fixture) {
+		short := limits
+		short.IdleTimeout = 5 * time.Second
+		f.limits.Store(&short)
+		c, r := f.dial()
+		f.send(c, get("/0ms/first"))
+		f.readResponse(r)
+		time.Sleep(time.Second)
+		f.limits.Store(&limits)
+		time.Sleep(limits.IdleTimeout*4/5 - time.Second)
+		f.send(c, get("/0ms/second"))
+		body, _ := f.readResponse(r)
+		assert.Equal(t, body, "/0ms/second ")
+	})
+}
