caller: callers are told how long they may keep a connection idle

Callers that respect Keep-Alive, as the users' do, now close or leave such connections first.

Fix: responses that keep their connection open carry Connection: keep-alive and Keep-Alive: timeout=N, 0.8 of the idle timeout, which itself stays as configured. Control calls between VMs had a margin already (30 s of 120 s); it is one constant now.

Tests: TestKeepAliveIsAnnounced; TestEachRequestIsAnsweredOrNotRead plays 300 connections with pauses around the timeout, changed limits and stops: each request is answered or not read, and each within the announced time is answered.

--- a/pkg/caller/exchange.go
+++ b/pkg/caller/exchange.go
@@ -171,6 +171,8 @@
 	h.Del("Connection")
 	if x.closeAfter {
 		h.Set("Connection", "close")
+	} else {
+		announceKeepAlive(h, x.conn.srv.cfg.Limits().IdleTimeout)
 	}
 	if x.chunked {
 		h.Set("Transfer-Encoding", "chunked")
--- a/pkg/caller/idle.go
+++ b/pkg/caller/idle.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"laburnumpick.org/pkg/control"
@@ -13,6 +15,21 @@
 // expiredDeadline is a deadline that makes a blocked read return.
 var expiredDeadline = time.Unix(1, 0)
 
+// keepAliveShare is the share of the idle timeout that callers are told. The rest is for requests
+// that are under way when the time that they were told ends.
+const keepAliveShare = 0.8
+
+// announceKeepAlive tells the caller how long it may keep the connection idle, in whole seconds. A time
+// below a second cannot be told.
+func announceKeepAlive(h http.Header, idleTimeout time.Duration) {
+	seconds := int(keepAliveShare * idleTimeout.Seconds())
+	if seconds < 1 {
+		return
+	}
+	h.Set("Connection", "keep-alive")
+	h.Set("Keep-Alive", "timeout="+strconv.Itoa(seconds))
+}
+
 // errIdle means that a connection without unanswered requests reached its idle
 // timeout or was closed by closeIfIdle, or that its last response was written.
 var errIdle = errors.New("idle")
--- a/pkg/caller/idle_test.go
+++ b/pkg/caller/idle_test.go
@@ -5,11 +5,15 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -157,3 +161,101 @@
 		assert.Equal(t, body, "/0ms/second ")
 	})
 }
+
+// TestKeepAliveIsAnnounced guards against callers that know no time to stay within, and whose requests
+// therefore cross the end of idle connections.
+func TestKeepAliveIsAnnounced(t *testing.T) {
+	cases := []struct {
+		name    string
+		timeout time.Duration
+		text    string
+		want    string
+	}{
+		{"whole seconds", 15 * time.Second, get("/0ms/a"), "timeout=12"},
+		{"rounded down", 2 * time.Second, get("/0ms/a"), "timeout=1"},
+		{"too short to be told", time.Second, get("/0ms/a"), ""},
+		{"the connection ends", 15 * time.Second, "GET /0ms/a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", ""},
+		{"response of the server itself", 15 * time.Second, "GET / HTTP/1.1\r\n\r\n", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withServer(t, func(f *fixture) {
+				lim := limits
+				lim.IdleTimeout = c.timeout
+				f.limits.Store(&lim)
+				nc, r := f.dial()
+				f.send(nc, c.text)
+				resp, err := http.ReadResponse(r, nil)
+				assert.NilError(t, err)
+				assert.NilError(t, resp.Body.Close())
+				assert.Equal(t, resp.Header.Get("Keep-Alive"), c.want)
+				assert.Equal(t, resp.Header.Get("Connection") == "keep-alive", c.want != "")
+			})
+		})
+	}
+}
+
+// idlePlays is the number of random connections that TestEachRequestIsAnsweredOrNotRead plays.
+const idlePlays = 300
+
+// TestEachRequestIsAnsweredOrNotRead plays connections with pauses around the idle timeout, whose limits
+// change meanwhile and whose server stops at the end. Each request is answered, or the server has read nothing of
+// it; and each that is sent within the announced time is answered while the server does not stop.
+func TestEachRequestIsAnsweredOrNotRead(t *testing.T) {
+	for seed := range uint64(idlePlays) {
+		withWatched(t, func(f *fixture, l *watchedListener) {
+			playIdle(t, f, l, rand.New(rand.NewPCG(seed, 0)))
+		})
+	}
+}
+
+// exchangeOnce sends a request and reads the response.
+func exchangeOnce(c net.Conn, r *bufio.Reader) error {
+	if _, err := io.WriteString(c, post("/0ms/a", "x")); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// playIdle plays one connection of TestEachRequestIsAnsweredOrNotRead.
+func playIdle(t *testing.T, f *fixture, l *watchedListener, rng *rand.Rand) {
+	t.Helper()
+	c := f.dialWatched()
+	r := bufio.NewReader(c)
+	stopping := false
+	for range 4 {
+		lim := limits
+		lim.IdleTimeout = time.Duration(1+rng.IntN(4)) * time.Second
+		f.limits.Store(&lim)
+		near := lim.IdleTimeout - 5*time.Millisecond + time.Duration(rng.IntN(10_000))*time.Microsecond
+		pause := near
+		if rng.IntN(2) == 0 {
+			pause = time.Duration(rng.Int64N(int64(lim.IdleTimeout) * 4 / 5))
+		}
+		if rng.IntN(6) == 0 {
+			stopping = true
+			at := time.Duration(rng.Int64N(int64(pause + 2*time.Millisecond)))
+			time.AfterFunc(at+time.Microsecond, func() { _ = f.s.Shutdown(context.Background()) })
+		}
+		time.Sleep(pause)
+		synctest.Wait()
+		before := l.read.Load()
+		err := exchangeOnce(c, r)
+		if err == nil {
+			continue
+		}
+		isEnd := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.EPIPE)
+		assert.Assert(t, isEnd, "%v", err)
+		time.Sleep(time.Second)
+		assert.Equal(t, l.read.Load(), before, "the server read a request that it did not answer")
+		assert.Assert(t, stopping || pause > lim.IdleTimeout*4/5, "not answered after a pause of %v, idle timeout %v", pause, lim.IdleTimeout)
+		return
+	}
+}
--- a/pkg/daemon/transport.go
+++ b/pkg/daemon/transport.go
@@ -15,6 +15,10 @@
 // to another VM or to the store.
 const controlDialTimeout = time.Second
 
+// controlIdleTimeout is how long a connection for control calls is kept idle. It lies far below the
+// servers' idleTimeout, so that no call crosses the end of its connection.
+const controlIdleTimeout = idleTimeout / 4
+
 // newStore returns the store that the settings name.
 func (d *Daemon) newStore(nw Network) store.Store {
 	if d.set.Platform.URL == settings.Embedded {
@@ -47,7 +51,7 @@
 			return dial(ctx, address)
 		},
 		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     30 * time.Second,
+		IdleConnTimeout:     controlIdleTimeout,
 		DisableCompression:  true,
 	}
 }
