--- a/pkg/caller/idle_test.go
+++ b/pkg/caller/idle_test.go
@@ -143,6 +143,22 @@
 	})
 }
 
+// TestStopAnswersRequestsUnderWay guards against a planned stop that ends idle connections while a request of a
+// caller, who knows nothing of the stop, is on its way.
+func TestStopAnswersRequestsUnderWay(t *testing.T) {
+	withServer(t, func(f *fixture) {
+		c, r := f.dial()
+		f.send(c, get("/0ms/first"))
+		f.readResponse(r)
+		go func() { _ = f.s.Shutdown(context.Background()) }()
+		time.Sleep(lastLook / 2)
+		f.send(c, post("/0ms/second", "x"))
+		body, last := f.readResponse(r)
+		assert.Equal(t, body, "/0ms/second x")
+		assert.Assert(t, last)
+	})
+}
+
 // TestRaisedIdleTimeoutHoldsForIdleConnections guards against connections that end by the idle timeout that was
 // in force when they became idle: their callers keep to the present one.
 func TestRaisedIdleTimeoutHoldsForIdleConnections(t *testing.T) {
--- a/pkg/record/read.go
+++ b/pkg/record/read.go
@@ -144,6 +144,9 @@
 	entryLine := lastWithPrefix(requestLines, "entry: ")
 	switch entryLine.Message {
 	case "":
+		if unanswered := lastWithPrefix(requestLines, "caller: a request got no complete response"); unanswered.Message != "" {
+			return unansweredCause(unanswered.Get("reason"))
+		}
 		return "no line of the entry VM was found: the VM was lost, or the request had not completed"
 	case "entry: answered":
 		return fmt.Sprintf("answered by server %s with status %s after %s%s", entryLine.Get("server"), entryLine.Get("status"), entryLine.Get("took"), pathOf(entryLine))
@@ -172,6 +175,16 @@
 	}
 }
 
+// unansweredCause returns the cause for a request that never reached the entry. One behind another
+// request on its connection has not run.
+func unansweredCause(reason string) string {
+	outcome := "unknown"
+	if strings.HasPrefix(reason, "behind") {
+		outcome = "not run"
+	}
+	return fmt.Sprintf("%s: the caller got no complete response: %s", outcome, reason)
+}
+
 // pathOf returns which VM carried an attempt, if the VM that received the request could not reach
 // the server itself.
 func pathOf(l Line) string {
--- a/pkg/record/read_test.go
+++ b/pkg/record/read_test.go
@@ -42,6 +42,12 @@
 	checkExplanations(t, "quarantine.log", "quarantine.golden", "2ad7f0cc-6fa6-4c25-865c-9a2f6a029ede", "bee3af77-f212-4f9b-aa76-09f35b404f67")
 }
 
+// TestExplainNamesTheEndOfTheConnection guards against a request that a VM has read and thrown away and
+// whose explanation says that the VM was lost.
+func TestExplainNamesTheEndOfTheConnection(t *testing.T) {
+	checkExplanations(t, "unanswered.log", "unanswered.golden", "7f0e", "unknown")
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add("I0927 07:26:54.608666   1 grant.go:132] \"home: refused\" id=\"a\" queued=4")
 	f.Add("   1.6 vm-1 E0101 00:00:00.000000 1 x:1] \"m\" a=\"\\\"\" b=")
