--- a/_scripts/prove.sh
+++ b/_scripts/prove.sh
@@ -131,6 +131,7 @@
 mutant "responses on reused connections need no name" backend/send.go 's/!x\.contract\.RequiresEcho/true/' backend 'TestLateSecondResponse'
 mutant "a restarted VM passes on changes without earlier removals" registry/registry.go 's/r\.compactedUpTo = max\(r\.compactedUpTo, u\.Revision\)/_ = u.Revision/' registry 'TestRemovalBeforeAFullList'
 mutant "limits of messages not checked" fleetapi/limits.go 's/if m == nil \|\| .* \{/if m == nil {/; s/^\t"math"$//' trial 'TestMalformedMessages'
+mutant "the last VMs of a data centre unwatched" roster/peers.go 's/smallDataCentre = 3/smallDataCentre = 0/' roster 'TestLastVMs'
 mutant "updates pushed to any data centre" roster/roster.go 's/if vm\.DataCentre == r\.self\.DataCentre \{/if false {/' roster 'TestUpdatesMostlyStay'
 mutant "idle servers tested from any data centre at once" pool/idle.go 's/limit \+= maxIdleFar/limit += 0/' pool 'TestRequestsStay'
 mutant "no way through another VM" egress/sender.go 's/if !failedToConnect\(ctx, err\) \{/if true {/' trial 'TestVMsCutOff'
--- a/pkg/roster/peers.go
+++ b/pkg/roster/peers.go
@@ -1,9 +1,41 @@
 package roster
 
 import (
+	"maps"
 	"slices"
+
+	"laburnumpick.org/pkg/site"
 )
 
+// smallDataCentre is the number of VMs below which a data centre's VMs are near those of the next one too, by
+// name. So each VM has two others that send it most of their heartbeats, and one that dies leaves none
+// of its data centre unwatched.
+const smallDataCentre = 3
+
+// nearDataCentres returns the data centres to whose VMs this VM sends most of its heartbeats: its own, the next
+// one if its own is small, and a small one whose next is its own. vms are the members of the view.
+func nearDataCentres(self site.DataCentre, vms []VM) []site.DataCentre {
+	size := make(map[site.DataCentre]int)
+	for _, vm := range vms {
+		size[vm.DataCentre]++
+	}
+	size[self] += 0 // It counts also while its VMs are not in the view.
+	all := slices.Sorted(maps.Keys(size))
+	at := slices.Index(all, self)
+	next, previous := all[(at+1)%len(all)], all[(at+len(all)-1)%len(all)]
+	near := []site.DataCentre{self}
+	if size[self] < smallDataCentre {
+		near = append(near, next)
+	}
+	if size[previous] < smallDataCentre {
+		near = append(near, previous)
+	}
+	return near
+}
+
+// isNear reports whether this VM sends most of its heartbeats to a member's data centre.
+func (r *Roster) isNear(m *member) bool { return slices.Contains(r.near, m.DataCentre) }
+
 // insertAtRandom inserts a VM at a random place of the heartbeat order, so that
 // VMs that start together do not all send to the same VM at once.
 func (r *Roster) insertAtRandom(n VMName) {
@@ -13,7 +45,7 @@
 }
 
 // Next returns the VM to send the next heartbeat to, or false if there is none.
-// Most heartbeats stay in this VM's data centre, because traffic between data
+// Most heartbeats stay near, mostly in this VM's data centre, because traffic between data
 // centres is expensive and VMs mostly fail one at a time. While no VM of another
 // data centre is in the view, as after a simultaneous start of all VMs, every
 // second heartbeat goes to another data centre. While builds are mixed, every second one goes to a VM
@@ -62,7 +94,7 @@
 }
 
 // nextPeer advances to the next VM in the heartbeat order that is not dead and is
-// in another data centre (far) or in this one.
+// near or far.
 func (r *Roster) nextPeer(far bool) (VM, bool) {
 	turn := &r.turns[0]
 	if far {
@@ -76,7 +108,7 @@
 		n := r.order[*turn]
 		*turn++
 		m, ok := r.members[n]
-		if ok && m.Status != Dead && (m.DataCentre != r.self.DataCentre) == far {
+		if ok && m.Status != Dead && r.isNear(m) != far {
 			return m.VM, true
 		}
 	}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -19,6 +19,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"laburnumpick.org/pkg/site"
 )
 
 // Parameters of the failure detector.
@@ -50,7 +52,8 @@
 	self       *member
 	members    map[VMName]*member
 	order      []VMName           // Order in which heartbeats are sent; reshuffled after each pass.
-	turns      [2]int             // Next positions in order, for near (same data centre) and far VMs.
+	near       []site.DataCentre  // To which most heartbeats go.
+	turns      [2]int             // Next positions in order, for near and far VMs.
 	heartbeats int                // Number of heartbeats sent.
 	misses     int                // Missed heartbeats in a row.
 	pushDue    bool               // Updates have changed since the last TakeChanged.
@@ -219,6 +222,8 @@
 		if v.lost == r.view.lost && v.unheard == r.view.unheard && v.suspected == r.view.suspected {
 			return
 		}
+	} else {
+		r.near = nearDataCentres(r.self.DataCentre, vms)
 	}
 	r.view = v
 }
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -171,6 +171,30 @@
 	g.assertViews(t, 36)
 }
 
+// TestLastVMsOfADataCentreAreMissedSoon guards against dead VMs that stay in all views for many seconds, since the
+// VMs of their data centre, which would miss their heartbeats, are dead too: of 24 VMs in three data
+// centres one or two are left in the first one, and then die, one after the other.
+func TestLastVMsOfADataCentreAreMissedSoon(t *testing.T) {
+	const vms, dataCentres = 24, 3
+	for last := 0; last < vms; last += dataCentres {
+		for _, left := range []int{1, 2} {
+			g := newGroup(vms)
+			g.run(10 * time.Second)
+			for i := range vms / dataCentres {
+				g.dead[(last+i*dataCentres)%vms] = i >= left
+			}
+			g.run(15 * time.Second)
+			g.assertViews(t, vms/dataCentres*(dataCentres-1)+left)
+			for i := range left {
+				g.dead[(last+i*dataCentres)%vms] = true
+				g.run(time.Second)
+			}
+			g.run(3 * time.Second)
+			g.assertViews(t, vms/dataCentres*(dataCentres-1))
+		}
+	}
+}
+
 // TestUpdatesMostlyStayInTheDataCentre guards against changes of members that cost a large
 // fleet many messages between data centres: of 144 VMs a third fail at once, all others know
 // it within 6 s, and each update crosses only a few times a VM.
