caller, backend: the first piece of a streamed response is not copied, and given back once the caller has it

Causes: a first piece of up to 1 MiB was copied into the exchange's buffer, and from there once more, and no bound counted either copy; its room stayed reserved until the response ended, so that slow readers held all of it.

--- a/pkg/backend/bodies_test.go
+++ b/pkg/backend/bodies_test.go
@@ -74,3 +74,39 @@
 		})
 	}
 }
+
+// TestFirstPieceOfAStreamedBodyIsGivenBack guards against slow readers that keep the room of the first piece of
+// their response, up to a megabyte each, for as long as they take for the rest.
+func TestFirstPieceOfAStreamedBodyIsGivenBack(t *testing.T) {
+	const size, first = 300_000, 100_000
+	serve := func(p *peer, nc net.Conn, r *bufio.Reader) {
+		if id, ok := p.readRequest(r); ok {
+			respond(nc, id, strings.Repeat("x", size))
+		}
+	}
+	withPeer(t, serve, func(t *testing.T, _ *peer, pool *backend.ConnPool) {
+		budget := buffer.NewBudget(1 << 20)
+		held := budget.Open()
+		defer held.Close()
+		resp, err := pool.Send(buffer.WithAccount(context.Background(), held), newRequest("1", "GET", ""), backend.Options{MaxBufferedBody: first})
+		assert.NilError(t, err)
+		assert.Assert(t, budget.Used() >= first)
+		w := &heldAtWrites{budget: budget}
+		assert.NilError(t, backend.WriteBody(w, resp))
+		assert.Equal(t, w.bytes, size)
+		assert.Equal(t, w.heldLast, int64(0))
+	})
+}
+
+// heldAtWrites records what the budget holds at the last write.
+type heldAtWrites struct {
+	budget   *buffer.Budget
+	bytes    int
+	heldLast int64
+}
+
+func (w *heldAtWrites) Write(p []byte) (int, error) {
+	w.bytes += len(p)
+	w.heldLast = w.budget.Used()
+	return len(p), nil
+}
--- a/pkg/backend/send.go
+++ b/pkg/backend/send.go
@@ -95,6 +95,8 @@
 	BodyRemainder io.ReadCloser
 	// CloseDelimited means that the body ends with the connection.
 	CloseDelimited bool
+
+	room *buffer.Account // Of Body. May be nil.
 }
 
 // Stage is how far a request got before it failed.
@@ -293,8 +295,8 @@
 }
 
 func (x *exchange) readBody(resp *http.Response, maxBuffered int) (*Response, error) {
-	out := &Response{Status: resp.StatusCode, Header: resp.Header}
-	body, ended, err := buffer.Read(buffer.AccountFrom(x.ctx), resp.Body, resp.ContentLength, int64(maxBuffered))
+	out := &Response{Status: resp.StatusCode, Header: resp.Header, room: buffer.AccountFrom(x.ctx)}
+	body, ended, err := buffer.Read(out.room, resp.Body, resp.ContentLength, int64(maxBuffered))
 	if err != nil {
 		return nil, x.newError(InvalidResponse, err)
 	}
--- a/pkg/caller/exchange.go
+++ b/pkg/caller/exchange.go
@@ -109,17 +109,16 @@
 		return len(p), nil
 	}
 	if !x.responseStarted && x.header.Get("Content-Length") == "" {
-		x.buffered.Write(p)
-		if x.buffered.Len() <= maxBufferedBytes {
-			return len(p), nil
+		if x.buffered.Len()+len(p) <= maxBufferedBytes {
+			return x.buffered.Write(p)
 		}
 		x.chunked = !x.isHTTP10()
 		if err := x.startResponse(); err != nil {
 			return 0, err
 		}
-		buffered := bytes.Clone(x.buffered.Bytes())
-		x.buffered.Reset()
-		return len(p), x.writeBody(buffered)
+		if err := x.writeBuffered(); err != nil {
+			return 0, err
+		}
 	}
 	if err := x.startResponse(); err != nil {
 		return 0, err
@@ -127,6 +126,13 @@
 	return len(p), x.writeBody(p)
 }
 
+// writeBuffered writes what is buffered and drops the buffer.
+func (x *exchange) writeBuffered() error {
+	buffered := x.buffered
+	x.buffered = bytes.Buffer{}
+	return x.writeBody(buffered.Bytes())
+}
+
 // isHTTP10 reports whether the request is older than HTTP/1.1.
 func (x *exchange) isHTTP10() bool { return !x.req.ProtoAtLeast(1, 1) }
 
@@ -243,7 +249,7 @@
 	if err := x.startResponse(); err != nil {
 		return err
 	}
-	if err := x.writeBody(x.buffered.Bytes()); err != nil {
+	if err := x.writeBuffered(); err != nil {
 		return err
 	}
 	if x.remaining > 0 {
