buffer: bodies of requests are held once, in the pieces in which they were read; laburnumbench memory

Callers: large bodies in chunks were refused, or nearly took a VM over its memory (279 of 284 MB), at half the speed of bodies with a length.

Cause: the buffer of a body without a length grew by half of its size each time and was copied: the buffers before it are garbage of up to twice its size, which no reservation counts, and two of them are reserved while one is copied.

Fix: buffer.Body holds a request's body in pieces; ReadBody adds pieces and copies nothing; what identifies, sends and carries a request reads them in turn. One destination each for one buffer (responses, up to a megabyte) and for pieces.

Tests: TestBodyOfUnknownLengthIsHeldOnce (Read in place of ReadBody allocates three times the size), TestBodyIsReadAgain, FuzzRead, TestRead now over both functions. Four mutants fail first.

--- a/_scripts/prove.sh
+++ b/_scripts/prove.sh
@@ -207,6 +207,10 @@
 mutant "a server that is back is told by no reader that has not missed it" registry/registry.go 's/wasMissing \|\| now\.Before\(r\.recoversUntil\)/wasMissing/' registry 'TestServerThatIsBack'
 mutant "large bodies take all room" buffer/budget.go 's/return b\.limit - b\.limit\/reservedShare/return b.limit/' buffer 'TestLargeBodies'
 mutant "slow senders keep their room" buffer/budget.go 's/age < minAge \|\| a\.held == 0/true/' caller 'TestSlowSenders'
-mutant "responses not counted" buffer/read.go 's/!r\.account\.Reserve\(next\)/false/' backend 'TestEndlessBodies'
+mutant "responses not counted" buffer/read.go 's/!s\.account\.Reserve\(next\)/false/' backend 'TestEndlessBodies'
+mutant "pieces of a body not counted" buffer/read.go 's/!p\.account\.Reserve\(size\)/false/' buffer 'TestRead'
+mutant "a body of unknown length takes several times its size" buffer/read.go 's/return min\(p\.held, largestPiece, p\.left\)/return p.left/' buffer 'TestBodyOfUnknownLength|TestRead'
+mutant "slow readers keep the first piece" backend/body.go 's/^\tresp\.dropBody\(\)$//' backend 'TestFirstPieceOfAStreamedBody'
+mutant "pieces of responses copied" caller/exchange.go 's/x\.buffered\.Len\(\)\+len\(p\) <= maxBufferedBytes/x.buffered.Len()+len(p) <= 32*maxBufferedBytes/' caller 'TestLargePieceOfAResponse'
 mutant "late requests of a planned stop passed on" entry/entry.go 's/if end == nil \|\| now/if end != nil || end == nil || now/' trial 'TestPlannedStops'
 exit $bad
--- a/cmd/laburnumbench/bench/main.go
+++ b/cmd/laburnumbench/bench/main.go
@@ -19,6 +19,7 @@
 	Servers    serversCmd    `cmd:"" help:"Serve stand-ins for all backend servers of a site."`
 	Experiment experimentCmd `cmd:"" help:"Simulate a site of many entry VMs in virtual time, with faults, and print the results."`
 	Idle       idleCmd       `cmd:"" help:"Measure the cost of the control traffic of an idle fleet."`
+	Memory     memoryCmd     `cmd:"" help:"Send entry VMs, as processes, bodies beyond their memory, and watch what they hold."`
 	Overhead   overheadCmd   `cmd:"" help:"Compare requests through an entry VM with a minimal reverse proxy."`
 	Demo       demoCmd       `cmd:"" help:"Send load and faults to running sites and check every promise."`
 	Soak       soakCmd       `cmd:"" help:"Run laburnumpickd processes, inject faults from outside and check every promise."`
--- a/pkg/backend/backend_test.go
+++ b/pkg/backend/backend_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"laburnumpick.org/pkg/backend"
+	"laburnumpick.org/pkg/buffer"
 	"laburnumpick.org/pkg/standin"
 )
 
@@ -74,7 +75,7 @@
 func newRequest(id, method, body string) *backend.Request {
 	h := http.Header{"Idempotency-Key": {"k"}}
 	h.Set(backend.HeaderRequestID, id)
-	return &backend.Request{Method: method, URL: &url.URL{Path: "/x"}, Host: "h", Header: h, Body: []byte(body), ID: id}
+	return &backend.Request{Method: method, URL: &url.URL{Path: "/x"}, Host: "h", Header: h, Body: buffer.NewBody([]byte(body)), ID: id}
 }
 
 func send(pool *backend.ConnPool, r *backend.Request, o backend.Options) (*backend.Response, *backend.Error) {
--- a/pkg/backend/send.go
+++ b/pkg/backend/send.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -52,7 +51,7 @@
 	URL    *url.URL // Path and query only.
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   buffer.Body
 	ID     string // Compared with the ID that the peer echoes, if it does.
 }
 
@@ -234,10 +233,10 @@
 	r := &http.Request{
 		Method: req.Method, URL: req.URL, Host: req.Host, Header: req.Header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		ContentLength: int64(len(req.Body)),
+		ContentLength: req.Body.Len(),
 	}
-	if len(req.Body) > 0 {
-		r.Body = io.NopCloser(bytes.NewReader(req.Body))
+	if r.ContentLength > 0 {
+		r.Body = io.NopCloser(req.Body.Reader())
 	}
 	if err := r.Write(x.conn.w); err != nil {
 		return err
--- a/pkg/caller/body.go
+++ b/pkg/caller/body.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -19,8 +18,8 @@
 
 // body is a request's body that has been read to its end.
 type body struct {
-	*bytes.Reader
-	data []byte
+	io.Reader
+	data buffer.Body
 }
 
 // Close implements io.Closer.
@@ -28,7 +27,7 @@
 
 // BodyOf returns the body of a request of this package's server, without copying it. The caller
 // must not modify it.
-func BodyOf(r *http.Request) ([]byte, bool) {
+func BodyOf(r *http.Request) (buffer.Body, bool) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, true
 	}
@@ -59,17 +58,17 @@
 	}
 	_ = c.nc.SetReadDeadline(began.Add(lim.BodyTimeout))
 	held.BeginReceive(began, func() { _ = c.nc.SetReadDeadline(expiredDeadline) })
-	data, ended, err := buffer.Read(held, req.Body, req.ContentLength, lim.BodyBytes)
+	data, ended, err := buffer.ReadBody(held, req.Body, req.ContentLength, lim.BodyBytes)
 	held.EndReceive()
 	switch {
 	case err != nil:
 		return bodyError(err)
-	case int64(len(data)) > lim.BodyBytes:
+	case data.Len() > lim.BodyBytes:
 		return bodyTooLarge(lim)
 	case !ended:
 		return noRoom()
 	}
-	req.Body = &body{bytes.NewReader(data), data}
+	req.Body = &body{data.Reader(), data}
 	return nil
 }
 
--- a/pkg/claim/record.go
+++ b/pkg/claim/record.go
@@ -18,6 +18,7 @@
 	"net/http"
 	"time"
 
+	"laburnumpick.org/pkg/buffer"
 	"laburnumpick.org/pkg/outcome"
 	"laburnumpick.org/pkg/site"
 	"laburnumpick.org/pkg/store"
@@ -35,13 +36,13 @@
 
 // NewDigest returns the truncated SHA-256 digest of a request's service, method, target and body.
 // Stored claims hold it, so it must not change.
-func NewDigest(s site.ServiceName, method, target string, body []byte) Digest {
+func NewDigest(s site.ServiceName, method, target string, body buffer.Body) Digest {
 	h := sha256.New()
 	for _, part := range []string{string(s), method, target} {
 		h.Write([]byte(part))
 		h.Write([]byte{0})
 	}
-	h.Write(body)
+	_, _ = body.WriteTo(h) // A hash does not fail.
 	return Digest(hex.EncodeToString(h.Sum(nil)[:digestBytes]))
 }
 
--- a/pkg/egress/carry.go
+++ b/pkg/egress/carry.go
@@ -92,11 +92,11 @@
 // with. Otherwise the caller must take a value from h.running in the end.
 func (h *Handler) admit(r *http.Request) (*call, Result, string) {
 	maxBody := h.cfg.MaxBody()
-	body, ended, err := buffer.Read(buffer.AccountFrom(r.Context()), r.Body, r.ContentLength, maxBody)
+	body, ended, err := buffer.ReadBody(buffer.AccountFrom(r.Context()), r.Body, r.ContentLength, maxBody)
 	switch {
 	case err != nil:
 		return nil, Malformed, err.Error()
-	case int64(len(body)) > maxBody:
+	case body.Len() > maxBody:
 		return nil, Malformed, fmt.Sprintf("the body has more than %d bytes", maxBody)
 	case !ended:
 		return nil, Busy, "this VM has no room in memory for the body"
--- a/pkg/egress/message.go
+++ b/pkg/egress/message.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"laburnumpick.org/pkg/backend"
+	"laburnumpick.org/pkg/buffer"
 	"laburnumpick.org/pkg/roster"
 	"laburnumpick.org/pkg/site"
 )
@@ -107,7 +108,7 @@
 
 // parseCall reads a call. body is the request's body; the call has no request if it only checks
 // the connection.
-func parseCall(r *http.Request, body []byte) (*call, error) {
+func parseCall(r *http.Request, body buffer.Body) (*call, error) {
 	h := r.Header
 	started, startedErr := strconv.ParseInt(h.Get(headerStartedMs), 10, 64)
 	left, leftErr := strconv.ParseInt(h.Get(headerLeftMs), 10, 64)
--- a/pkg/egress/message_test.go
+++ b/pkg/egress/message_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"laburnumpick.org/pkg/backend"
+	"laburnumpick.org/pkg/buffer"
 	"laburnumpick.org/pkg/site"
 )
 
@@ -20,7 +21,7 @@
 	return &call{
 		from: "vm-1", left: time.Second, newConn: true,
 		target:  Target{"s", site.Server{Name: "s-1", Address: "10.0.0.1:80", StartedMs: 5}},
-		request: &backend.Request{Method: "PUT", URL: u, Host: "shop.example", Header: http.Header{"X-Own": {"1", "2"}}, Body: []byte("b")},
+		request: &backend.Request{Method: "PUT", URL: u, Host: "shop.example", Header: http.Header{"X-Own": {"1", "2"}}, Body: buffer.NewBody([]byte("b"))},
 	}
 }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -24,6 +24,7 @@
 
 	"laburnumpick.org/pkg/account"
 	"laburnumpick.org/pkg/backend"
+	"laburnumpick.org/pkg/buffer"
 	"laburnumpick.org/pkg/caller"
 	"laburnumpick.org/pkg/catalog"
 	"laburnumpick.org/pkg/claim"
@@ -445,11 +446,12 @@
 }
 
 // readBody returns the request's body, which the callers' server has already read.
-func readBody(r *http.Request) ([]byte, error) {
+func readBody(r *http.Request) (buffer.Body, error) {
 	if body, ok := caller.BodyOf(r); ok {
 		return body, nil
 	}
-	return io.ReadAll(r.Body)
+	data, err := io.ReadAll(r.Body)
+	return buffer.NewBody(data), err
 }
 
 // targetURL returns a URL whose RequestURI is the request target as the caller
--- a/pkg/quarantine/identity.go
+++ b/pkg/quarantine/identity.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"laburnumpick.org/pkg/buffer"
 	"laburnumpick.org/pkg/site"
 )
 
@@ -30,7 +31,7 @@
 	Target  string // Path and query.
 	Account site.AccountName
 	Header  http.Header
-	Body    []byte
+	Body    buffer.Body
 	// KeyHeader is the header with the idempotency key, which is new for each use of a request;
 	// empty if there is none.
 	KeyHeader string
@@ -72,7 +73,7 @@
 	buf = r.appendHeader(buf)
 	own := sha256.New()
 	own.Write(buf)
-	own.Write(r.Body)
+	_, _ = r.Body.WriteTo(own) // A hash does not fail.
 	return Identity{Own: newFingerprint(own.Sum(nil)), Class: newFingerprint(class[:])}
 }
 
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"laburnumpick.org/pkg/buffer"
 	"laburnumpick.org/pkg/quarantine"
 	"laburnumpick.org/pkg/site"
 )
@@ -242,7 +243,7 @@
 func TestIdentityOfRequests(t *testing.T) {
 	base := func() *quarantine.Request {
 		return &quarantine.Request{
-			Method: "POST", Host: "h.example", Target: "/a?x=1", Account: "one", Body: []byte("b"), KeyHeader: "Order-Key",
+			Method: "POST", Host: "h.example", Target: "/a?x=1", Account: "one", Body: buffer.NewBody([]byte("b")), KeyHeader: "Order-Key",
 			Header: http.Header{"Cookie": {"member=1"}, "Authorization": {"Token k"}, "X-Client": {"c"}},
 		}
 	}
@@ -256,10 +257,13 @@
 	other := map[string]func(r *quarantine.Request){
 		"method": func(r *quarantine.Request) { r.Method = "PUT" }, "host": func(r *quarantine.Request) { r.Host = "i.example" },
 		"query": func(r *quarantine.Request) { r.Target = "/a?x=2" }, "account": func(r *quarantine.Request) { r.Account = "two" },
-		"body": func(r *quarantine.Request) { r.Body = []byte("c") }, "cookie": func(r *quarantine.Request) { r.Header.Set("Cookie", "member=2") },
-		"credentials":                  func(r *quarantine.Request) { r.Header.Set("Authorization", "Token l") },
-		"another header":               func(r *quarantine.Request) { r.Header.Set("X-Client", "d") },
-		"body that continues a header": func(r *quarantine.Request) { r.Header.Del("X-Client"); r.Body = []byte("X-Client\x00c\x00\x00b") },
+		"body": func(r *quarantine.Request) { r.Body = buffer.NewBody([]byte("c")) }, "cookie": func(r *quarantine.Request) { r.Header.Set("Cookie", "member=2") },
+		"credentials":    func(r *quarantine.Request) { r.Header.Set("Authorization", "Token l") },
+		"another header": func(r *quarantine.Request) { r.Header.Set("X-Client", "d") },
+		"body that continues a header": func(r *quarantine.Request) {
+			r.Header.Del("X-Client")
+			r.Body = buffer.NewBody([]byte("X-Client\x00c\x00\x00b"))
+		},
 	}
 	want := quarantine.Identify(base())
 	for name, change := range same {
