--- a/pkg/caller/conn.go
+++ b/pkg/caller/conn.go
@@ -116,7 +116,7 @@
 // a request that may not run in parallel or comes behind one of HTTP/1.0, is empty. It
 // returns nil and the reason if the connection is closing or broken; the request then
 // counts as not read.
-func (c *conn) enqueue(r received) (*exchange, unanswered) {
+func (c *conn) enqueue(r received) (*exchange, unansweredReason) {
 	parallel := c.srv.cfg.Parallel(r.req)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/caller/exchange.go
+++ b/pkg/caller/exchange.go
@@ -55,7 +55,7 @@
 		err = x.finish()
 	}
 	if err != nil {
-		x.conn.reportUnanswered(x.unansweredBy(err), x.req, err)
+		x.conn.reportUnanswered(x.reasonFor(err), x.req, err)
 	}
 	x.conn.dequeue(x, err == nil)
 }
--- a/pkg/caller/unanswered.go
+++ b/pkg/caller/unanswered.go
@@ -10,17 +10,17 @@
 	"laburnumpick.org/pkg/outcome"
 )
 
-// unanswered is why a request that was read, at least in part, got no complete response.
-type unanswered string
+// unansweredReason is why a request that was read, at least in part, got no complete response.
+type unansweredReason string
 
 // Reasons for requests without a complete response. They are values of a metric's tag.
 const (
-	behindLast   unanswered = "behindLast"   // It came behind a response that announced the end of the connection.
-	behindBroken unanswered = "behindBroken" // It came behind a response that broke off.
-	brokenOff    unanswered = "brokenOff"    // Its own response broke off.
-	callerLeft   unanswered = "callerLeft"   // The caller closed the connection, or it broke.
-	notTaken     unanswered = "notTaken"     // The caller did not take the response within the write timeout.
-	stopped      unanswered = "stopped"      // The stop of the VM ran out of time.
+	behindLast   unansweredReason = "behindLast"   // It came behind a response that announced the end of the connection.
+	behindBroken unansweredReason = "behindBroken" // It came behind a response that broke off.
+	brokenOff    unansweredReason = "brokenOff"    // Its own response broke off.
+	callerLeft   unansweredReason = "callerLeft"   // The caller closed the connection, or it broke.
+	notTaken     unansweredReason = "notTaken"     // The caller did not take the response within the write timeout.
+	stopped      unansweredReason = "stopped"      // The stop of the VM ran out of time.
 )
 
 // errAborted means that a handler ended without a complete response.
@@ -28,7 +28,7 @@
 
 // reportUnanswered counts a request that gets no complete response and logs the reason. A caller that
 // leaves is an ordinary event. The request is nil if it was not read to its end.
-func (c *conn) reportUnanswered(reason unanswered, r *http.Request, cause error) {
+func (c *conn) reportUnanswered(reason unansweredReason, r *http.Request, cause error) {
 	c.srv.cfg.Scope.Tagged(map[string]string{"reason": string(reason)}).Counter("unanswered").Inc(1)
 	level := klog.Level(0)
 	if reason == callerLeft {
@@ -41,8 +41,8 @@
 	klog.V(level).InfoS("caller: a request got no complete response", "id", id, "from", c.nc.RemoteAddr(), "reason", reason, "cause", cause)
 }
 
-// unansweredBy returns why the response to an exchange is incomplete, after an error.
-func (x *exchange) unansweredBy(err error) unanswered {
+// reasonFor returns why the response to an exchange is incomplete, after an error.
+func (x *exchange) reasonFor(err error) unansweredReason {
 	c := x.conn
 	switch {
 	case c.srv.ctx.Err() != nil:
@@ -59,7 +59,7 @@
 }
 
 // reasonNotAccepted returns why a request that was read whole is not accepted. The caller must hold c.mu.
-func (c *conn) reasonNotAccepted() unanswered {
+func (c *conn) reasonNotAccepted() unansweredReason {
 	switch {
 	case c.srv.ctx.Err() != nil:
 		return stopped
--- a/pkg/caller/unanswered_test.go
+++ b/pkg/caller/unanswered_test.go
@@ -13,7 +13,7 @@
 // word in any metric.
 func TestUnansweredRequestsAreCounted(t *testing.T) {
 	cases := []struct {
-		reason unanswered
+		reason unansweredReason
 		play   func(f *fixture)
 	}{
 		{brokenOff, func(f *fixture) {
@@ -64,7 +64,7 @@
 }
 
 // unanswered returns how many requests were counted with a reason.
-func (f *fixture) unanswered(reason unanswered) int64 {
+func (f *fixture) unanswered(reason unansweredReason) int64 {
 	for _, c := range f.metrics.Snapshot().Counters() {
 		if c.Name() == "unanswered" && c.Tags()["reason"] == string(reason) {
 			return c.Value()
--- a/pkg/socket/socket_test.go
+++ b/pkg/socket/socket_test.go
@@ -11,17 +11,27 @@
 	"laburnumpick.org/pkg/socket"
 )
 
-// TestQuietConnectionThatIsBeingRead guards against a check of a connection that waits for the
-// goroutine that reads from it.
-func TestQuietConnectionThatIsBeingRead(t *testing.T) {
+// pair returns both ends of a connection over loopback.
+func pair(t *testing.T) (near, far net.Conn) {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { _ = ln.Close() }()
-	far, err := net.Dial("tcp", ln.Addr().String())
+	far, err = net.Dial("tcp", ln.Addr().String())
 	assert.NilError(t, err)
-	near, err := ln.Accept()
+	near, err = ln.Accept()
 	assert.NilError(t, err)
-	defer func() { _ = near.Close() }()
+	t.Cleanup(func() {
+		_ = near.Close()
+		_ = far.Close()
+	})
+	return near, far
+}
+
+// TestQuietConnectionThatIsBeingRead guards against a check of a connection that waits for the
+// goroutine that reads from it.
+func TestQuietConnectionThatIsBeingRead(t *testing.T) {
+	near, far := pair(t)
 	read := make(chan error)
 	go func() {
 		_, err := near.Read(make([]byte, 1))
@@ -36,19 +46,11 @@
 // TestExpiredDeadlineHidesNothing guards against a check that a read deadline answers in place of the
 // network, as it does for a read.
 func TestExpiredDeadlineHidesNothing(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = ln.Close() }()
-	far, err := net.Dial("tcp", ln.Addr().String())
-	assert.NilError(t, err)
-	defer func() { _ = far.Close() }()
-	near, err := ln.Accept()
-	assert.NilError(t, err)
-	defer func() { _ = near.Close() }()
+	near, far := pair(t)
 	assert.NilError(t, near.SetReadDeadline(time.Unix(1, 0)))
 	wrapped := wrapped{near}
 	assert.Assert(t, socket.IsQuiet(wrapped))
-	_, err = far.Write([]byte("x"))
+	_, err := far.Write([]byte("x"))
 	assert.NilError(t, err)
 	for socket.IsQuiet(wrapped) {
 		time.Sleep(time.Millisecond)
