caller: the last look at an idle connection is bounded, and serves the timeout and the stop alike

Found in reading the change: a connection whose state could not be asked would have been read without a deadline, and so kept for ever. The names of the steps say what they do.

The late process of the tests finds what has arrived, as a read of a socket does; it hung where reads were late for ever.

--- a/pkg/caller/conn.go
+++ b/pkg/caller/conn.go
@@ -236,8 +236,8 @@
 	c.cancel()
 	switch {
 	case !usable:
-	case c.wasIdle():
-		c.awaitLastResponse(time.Now())
+	case c.endsIdle():
+		c.leaveTimeToRead(time.Now())
 	default:
 		c.linger()
 	}
--- a/pkg/caller/idle.go
+++ b/pkg/caller/idle.go
@@ -48,16 +48,16 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return fmt.Errorf("%w: %w", errCallerGone, err)
 		}
-		if !c.waitsOn(time.Now()) {
+		if !c.keepsWaiting(time.Now()) {
 			return errIdle
 		}
 	}
 }
 
-// waitsOn decides, after a read deadline has passed, whether to wait further for a request. Such a
+// keepsWaiting decides, after a read deadline has passed, whether to wait further for a request. Such a
 // deadline hides what the network has already delivered, however late this process reads it, so the
 // network is asked before an idle connection ends.
-func (c *conn) waitsOn(now time.Time) bool {
+func (c *conn) keepsWaiting(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	idle := len(c.queue) == 0
@@ -65,7 +65,7 @@
 	case c.closing && !c.closedIdle:
 		return false
 	case idle && !socket.IsQuiet(c.nc):
-		_ = c.nc.SetReadDeadline(time.Time{}) // A broken connection is noticed by the read.
+		c.setLastLook(now)
 		return true
 	case idle && (c.closedIdle || !now.Before(c.idleEnd())):
 		c.closing, c.closedIdle = true, true
@@ -106,30 +106,36 @@
 	}
 }
 
-// lastLook is how long a connection that a stop closes as idle is read for requests under way.
+// lastLook is how long an idle connection is read before it ends, for a request that has arrived, or
+// that is under way when the VM stops.
 const lastLook = 5 * time.Millisecond
 
+// setLastLook sets the read deadline for a last look.
+func (c *conn) setLastLook(now time.Time) {
+	_ = c.nc.SetReadDeadline(now.Add(lastLook)) // A broken connection is noticed by the read.
+}
+
 // closeIfIdle closes the connection if it has no unanswered or partly read request.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.queue) == 0 && !c.reading {
 		c.closing, c.closedIdle = true, true
-		_ = c.nc.SetReadDeadline(time.Now().Add(lastLook)) // A broken connection is noticed by the read.
+		c.setLastLook(time.Now())
 	}
 }
 
-// wasIdle reports whether the connection ends only since it was idle.
-func (c *conn) wasIdle() bool {
+// endsIdle reports whether the connection ends only since it was idle.
+func (c *conn) endsIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.closedIdle
 }
 
-// awaitLastResponse ends the write side of an idle connection and gives the caller time to read a response
+// leaveTimeToRead ends the write side of an idle connection and gives the caller time to read a response
 // that was written a moment ago. It reads nothing: the caller of a request that crosses the end of
 // the connection learns from the reset that the request was not read, and can send it again.
-func (c *conn) awaitLastResponse(now time.Time) {
+func (c *conn) leaveTimeToRead(now time.Time) {
 	c.mu.Lock()
 	left := c.idleSince.Add(lingerTimeout).Sub(now)
 	c.mu.Unlock()
--- a/pkg/caller/idle_test.go
+++ b/pkg/caller/idle_test.go
@@ -17,13 +17,15 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"laburnumpick.org/pkg/socket"
 )
 
 // watchedListener counts what the server reads from its connections.
 type watchedListener struct {
 	net.Listener
 	read atomic.Int64
-	late atomic.Bool // The process is late: reads return only when their deadline has passed.
+	late atomic.Bool // The process is late: reads that find nothing return only when their deadline has passed.
 }
 
 func (l *watchedListener) Accept() (net.Conn, error) {
@@ -64,7 +66,8 @@
 // Read reads. If the process is late, it returns as a blocked read of a socket does then: the deadline has
 // passed, and nothing of what has arrived is returned.
 func (c *watchedConn) Read(p []byte) (int, error) {
-	if at := c.readDeadline(); c.l.late.Load() && at.After(time.Now()) {
+	blocks := socket.IsQuiet(c.Conn)
+	if at := c.readDeadline(); c.l.late.Load() && blocks && at.After(time.Now()) {
 		time.Sleep(time.Until(at))
 		return 0, os.ErrDeadlineExceeded
 	}
