--- a/cmd/laburnumbench/bench/memory.go
+++ b/cmd/laburnumbench/bench/memory.go
@@ -27,7 +27,7 @@
 	Body       int           `default:"31457280" help:"Size of the bodies that are sent, in bytes."`
 	SenderRate int           `default:"0" help:"Bytes a second that each sender sends; 0 for as fast as they are taken."`
 	Chunked    bool          `help:"Send bodies in chunks, without a length."`
-	Mixed      bool          `help:"Draw the sizes of bodies between 1 KiB and --body, evenly on a logarithmic scale."`
+	Mixed      bool          `help:"Draw the sizes of bodies: from 1 KiB up to --body, which many of them have."`
 	Readers    int           `default:"0" help:"Callers of each VM that read large responses."`
 	Response   int           `default:"4194304" help:"Size of the responses that are read, in bytes."`
 	ReaderRate int           `default:"50000" help:"Bytes a second that each reader takes; 0 for as fast as they come."`
@@ -277,7 +277,7 @@
 	r.watching.Wait()
 }
 
-// drawSize draws a size up to most, evenly on a logarithmic scale.
+// drawSize draws a size up to most: the smallest one, doubled until one of sixteen draws ends it.
 func drawSize(rng *rand.Rand, most int) int {
 	size := smallestBody
 	for size < most && rng.IntN(16) > 0 {
