backend: a body that ends with its connection is not whole if the connection failed during the upload

What callers saw: a server answered a long upload at once with a 200 that had neither a length nor chunks, sent part of its body and reset the connection while the upload was still being written.

Cause: a socket reports a reset once, to whoever asks first. exchange.run writes before it reads; the write met the reset and took it. What had arrived could still be read, and then came a plain end, which is the sign of a whole body where nothing else tells its end. The error of the write was kept only to decide whether the connection is used again.

Fix: once the write has failed, the end of such a body is not certain, and the exchange fails as an invalid response before any of it is passed on; the notices of its head still count, as for any body that is cut. Nothing else takes the error of a socket that is read afterwards: the look at idle connections (package socket) discards the connection if it finds anything. net/http hides the error of the socket in a type without Unwrap, so it is kept where it occurs; otherwise the end of the connection would not be known as one, and a crash of the server not looked for.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -21,6 +21,7 @@
 	r           *bufio.Reader
 	w           *bufio.Writer
 	written     int64 // Bytes of the current request that were written to the socket.
+	writeErr    error // The first error of the socket while a request was written.
 	reused      bool  // The connection has carried an earlier request.
 	idleSince   time.Time
 	idleTimeout time.Duration // How long the connection may be idle before it must not be reused.
@@ -44,6 +45,9 @@
 func (w countingWriter) Write(p []byte) (int, error) {
 	n, err := w.c.nc.Write(p)
 	w.c.written += int64(n)
+	if w.c.writeErr == nil {
+		w.c.writeErr = err
+	}
 	return n, err
 }
 
--- a/pkg/backend/send.go
+++ b/pkg/backend/send.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -191,7 +192,8 @@
 		return nil, &Error{Stage: NotSent, Reused: x.conn.reused, cause: writeErr}
 	}
 	// A peer may respond without reading the whole request, so a failed write
-	// does not end the exchange.
+	// does not end the exchange. It has taken the connection's error, though: the
+	// socket reports an error once, and a plain end to whoever reads after that.
 	resp, err := x.readHead() //nolint:bodyclose // The exchange owns the connection and closes or reuses it.
 	if err != nil {
 		return nil, x.newError(NoResponse, errors.Join(writeErr, err))
@@ -202,6 +204,9 @@
 	if x.onHead != nil {
 		x.onHead(resp.StatusCode, resp.Header)
 	}
+	if isUnframed(resp) && writeErr != nil {
+		return nil, x.newError(InvalidResponse, fmt.Errorf("%w: %w", errEndUnknown, writeErr))
+	}
 	leaves, _ := x.contract.Leaving(resp.Header) // The receiver of onHead logs an invalid value.
 	x.reusable = x.conn.allowsReuse(x.contract, req, resp) && !resp.Close && !isUnframed(resp) && !leaves && writeErr == nil
 	x.conn.updateIdleTimeout(resp.Header)
@@ -213,6 +218,9 @@
 	return out, nil
 }
 
+// errEndUnknown means that a response ends with its connection, which did not end in order.
+var errEndUnknown = errors.New("the body ends with the connection, which failed while the request was written")
+
 // isUnframed reports whether a response's body ends with its connection.
 func isUnframed(resp *http.Response) bool {
 	return resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
@@ -229,6 +237,7 @@
 	return x.contract.check(resp)
 }
 
+// write writes a request. The error is that of the socket, which net/http hides, if it is the cause.
 func (x *exchange) write(req *Request) error {
 	r := &http.Request{
 		Method: req.Method, URL: req.URL, Host: req.Host, Header: req.Header,
@@ -238,10 +247,11 @@
 	if r.ContentLength > 0 {
 		r.Body = io.NopCloser(req.Body.Reader())
 	}
-	if err := r.Write(x.conn.w); err != nil {
-		return err
+	err := r.Write(x.conn.w)
+	if err == nil {
+		err = x.conn.w.Flush()
 	}
-	return x.conn.w.Flush()
+	return cmp.Or(x.conn.writeErr, err)
 }
 
 // readHead reads the head of the final response. Each interim response restarts the
