standin: the network in memory reports a reset once, as a kernel does

Now each end gets ECONNRESET once, from whichever call comes first; what has arrived by then can still be read, and after that come a plain end for reads and EPIPE for writes. What is still under way is lost, as before. A read deadline that has passed goes before what has arrived and before the reset, as in package net.

--- a/pkg/standin/conn.go
+++ b/pkg/standin/conn.go
@@ -1,9 +1,12 @@
 package standin
 
 import (
+	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -49,6 +52,29 @@
 // String implements net.Addr.
 func (a address) String() string { return string(a) }
 
+// resetReport tells one end of a connection of its reset once, as a kernel does: whoever reads or writes
+// first takes the error. After that reads find a plain end and writes fail with EPIPE.
+type resetReport struct {
+	mu           sync.Mutex
+	added, taken bool
+}
+
+// add records that the connection was reset.
+func (r *resetReport) add() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.added = true
+}
+
+// take reports whether the connection was reset and nobody has been told yet.
+func (r *resetReport) take() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first := r.added && !r.taken
+	r.taken = r.taken || first
+	return first
+}
+
 // Conn is one end of an in-memory connection.
 type Conn struct {
 	network       *Network
@@ -58,10 +84,24 @@
 	blackholed    *flag
 	dropped       flag // Data was dropped, so no later data of the byte stream can arrive.
 	writeDeadline deadline
+	resetReport   resetReport
 }
 
 // Read implements net.Conn.
-func (c *Conn) Read(p []byte) (int, error) { return c.in.read(p) }
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.in.read(p)
+	if errors.Is(err, syscall.ECONNRESET) && !c.resetReport.take() {
+		err = io.EOF
+	}
+	return n, err
+}
+
+// reset resets the connection.
+func (c *Conn) reset() {
+	c.resetReport.add()
+	c.in.reset()
+	c.out.reset()
+}
 
 // Write implements net.Conn. It reports dropped data as written, as a kernel does
 // that buffers it.
@@ -75,7 +115,11 @@
 	if c.blackholed.get() || c.dropped.get() {
 		return len(p), nil
 	}
-	return c.out.write(p, c.network.arrival(c.link))
+	n, err := c.out.write(p, c.network.arrival(c.link))
+	if err != nil && c.resetReport.take() {
+		err = &net.OpError{Op: "write", Net: "memory", Err: syscall.ECONNRESET}
+	}
+	return n, err
 }
 
 // Readable reports whether Read would return without blocking.
--- a/pkg/standin/network.go
+++ b/pkg/standin/network.go
@@ -120,8 +120,7 @@
 	}
 	n.mu.Unlock()
 	for _, c := range cs {
-		c.in.reset()
-		c.out.reset()
+		c.reset()
 	}
 }
 
--- a/pkg/standin/stream.go
+++ b/pkg/standin/stream.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -60,12 +61,12 @@
 		switch {
 		case s.readerClosed:
 			return 0, net.ErrClosed
-		case s.aborted:
-			return 0, errReset
 		case !s.deadline.IsZero() && !now.Before(s.deadline):
 			return 0, os.ErrDeadlineExceeded
 		case len(s.chunks) > 0 && !s.chunks[0].at.After(now):
 			return s.consume(p)
+		case s.aborted:
+			return 0, errReset
 		}
 		if len(s.chunks) > 0 {
 			s.notifyAt(s.chunks[0].at)
@@ -129,10 +130,13 @@
 	s.cond.Broadcast()
 }
 
+// reset ends the stream. What has arrived can still be read.
 func (s *stream) reset() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.aborted = true
+	now := time.Now()
+	s.chunks = slices.DeleteFunc(s.chunks, func(c chunk) bool { return c.at.After(now) })
 	s.cond.Broadcast()
 }
 
