backend: a response with a malformed head is a broken one

What callers saw: a server sent a response in whose head the name of a field held a blank. Names with a control byte were refused already, but told as "serverLost", as if nothing had come, and the detail that callers and the log got quoted the line, with whatever key the server had put there.

Cause: http.ReadResponse takes names with blanks as they are, lengths beside codings, codings under HTTP/1.0, empty names; trailers too. Its other refusals were told as NoResponse and quote the line.

Fix: the raw heads of responses, interim and final, and the trailers of bodies in chunks go through pkg/head, as callers' requests do, before net/http parses them. Decided by RFC 9112 and 9110: - refused: names that are no tokens (blanks before the colon as well: a proxy may remove those, but a reader that does not expect them misses a length), control characters, lines without a colon, a first field that is folded, lengths beside codings (6.3: to be handled as an error), codings under HTTP/1.0 (6.1), two ids that differ; - accepted as before: folded fields, lines that end with LF, no reason, later versions of HTTP/1, the same length or id twice, 204 and 304 with any framing, chunk extensions, trailers (not passed on); - refused by net/http as before: several codings, other codings than chunked, lengths that differ or are no numbers. What cannot be parsed is an invalid response (kind answerBroken, outcome unknown) for the caller, the log and the evidence, never "not run", also where the head carries a refusal; the error tells what is wrong and quotes nothing. TestInvalidResponses expected NoResponse for "not HTTP" and for status 101; both are bytes of a response, so it expects InvalidResponse now, which is as strict. Heads that end too soon stay NoResponse.

--- a/pkg/backend/backend_test.go
+++ b/pkg/backend/backend_test.go
@@ -108,8 +108,8 @@
 		{"bytes after the body", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull and more", backend.InvalidResponse},
 		{"second response after the body", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", backend.InvalidResponse},
 		{"response to another request", "HTTP/1.1 200 OK\r\nLaburnumpick-Request-Id: other\r\nContent-Length: 2\r\n\r\nok", backend.InvalidResponse},
-		{"not HTTP", "hello\r\n\r\n", backend.NoResponse},
-		{"switched protocols", "HTTP/1.1 101 Switching Protocols\r\n\r\n", backend.NoResponse},
+		{"not HTTP", "hello\r\n\r\n", backend.InvalidResponse},
+		{"switched protocols", "HTTP/1.1 101 Switching Protocols\r\n\r\n", backend.InvalidResponse},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"laburnumpick.org/pkg/head"
 	"laburnumpick.org/pkg/socket"
 )
 
@@ -56,7 +57,7 @@
 const maxHeadBytes = 64 << 10
 
 // errHeadTooLarge means that a response has no complete head within maxHeadBytes.
-var errHeadTooLarge = fmt.Errorf("the heads of the response are larger than %d bytes", maxHeadBytes)
+var errHeadTooLarge = fmt.Errorf("%w: the response has more than %d bytes", head.ErrTooLarge, maxHeadBytes)
 
 // limitedReader reads from the socket, and returns errHeadTooLarge after the bytes that are
 // allowed.
@@ -75,6 +76,13 @@
 	return n, err
 }
 
+// bufferHead buffers the whole head that comes next, or the trailer section, and checks it.
+func (c *conn) bufferHead(s *head.Scanner) error {
+	r, err := head.Buffer(c.r, limitedReader{c}, s, maxHeadBytes)
+	c.r = r
+	return err
+}
+
 // allowBytes lets n more bytes be read from the socket.
 func (c *conn) allowBytes(n int) { c.limited, c.readLeft = true, n }
 
--- a/pkg/backend/refusal.go
+++ b/pkg/backend/refusal.go
@@ -19,15 +19,15 @@
 // the ID tells. A refusal is no exception: a caller must not be told that a request has not
 // run because the server refused another one.
 func (x *exchange) checkEcho(req *Request, resp *http.Response) error {
-	echo := resp.Header.Get(HeaderRequestID)
-	switch {
-	case echo != "" && req.ID != "" && echo != req.ID:
-		return fmt.Errorf("received the response to request %q for request %q", echo, req.ID)
-	case echo == "" && x.conn.reused && x.contract.RequiresEcho:
+	for _, echo := range resp.Header.Values(HeaderRequestID) {
+		if echo != "" && req.ID != "" && echo != req.ID {
+			return fmt.Errorf("received the response to request %q for request %q", echo, req.ID)
+		}
+	}
+	if resp.Header.Get(HeaderRequestID) == "" && x.conn.reused && x.contract.RequiresEcho {
 		return errUnnamedResponse
-	default:
-		return nil
 	}
+	return nil
 }
 
 // allowsReuse reports whether a connection can be reused after a response, and remembers a
--- a/pkg/backend/send.go
+++ b/pkg/backend/send.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"laburnumpick.org/pkg/buffer"
+	"laburnumpick.org/pkg/head"
 )
 
 // Headers of the contract with backend servers.
@@ -196,7 +197,7 @@
 	// socket reports an error once, and a plain end to whoever reads after that.
 	resp, err := x.readHead() //nolint:bodyclose // The exchange owns the connection and closes or reuses it.
 	if err != nil {
-		return nil, x.newError(NoResponse, errors.Join(writeErr, err))
+		return nil, x.newError(stageOf(err), errors.Join(writeErr, err))
 	}
 	if err := x.checkHead(req, resp); err != nil {
 		return nil, x.newError(InvalidResponse, err)
@@ -263,7 +264,7 @@
 		if err := x.armResponseTimeout(); err != nil {
 			return nil, err
 		}
-		resp, err := http.ReadResponse(x.conn.r, &http.Request{Method: x.method})
+		resp, err := x.readOneHead()
 		if err != nil {
 			return nil, err
 		}
@@ -271,11 +272,38 @@
 			return resp, x.disarmResponseTimeout()
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("the peer switched protocols (status 101)")
+			return nil, errSwitchedProtocols
 		}
 	}
 }
 
+// errSwitchedProtocols means that the peer answered an upgrade for which nobody asked.
+var errSwitchedProtocols = head.NewError("the peer switched protocols (status 101)")
+
+// readOneHead reads a head, interim or final.
+func (x *exchange) readOneHead() (*http.Response, error) {
+	if err := x.conn.bufferHead(head.NewResponse()); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(x.conn.r, &http.Request{Method: x.method})
+	if err != nil {
+		return nil, head.ParseError(err) // The whole head is buffered, so the connection cannot have failed.
+	}
+	if resp.Body != http.NoBody && len(resp.TransferEncoding) > 0 {
+		resp.Body = newChunkedBody(x.conn)
+	}
+	return resp, nil
+}
+
+// stageOf returns how far a request got that failed while the head of its response was read. Bytes that
+// are no head are a response too, if a broken one.
+func stageOf(err error) Stage {
+	if _, malformed := errors.AsType[*head.Error](err); malformed || errors.Is(err, head.ErrTooLarge) {
+		return InvalidResponse
+	}
+	return NoResponse
+}
+
 func (x *exchange) armResponseTimeout() error {
 	if x.responseTimeout <= 0 {
 		return nil
