backend, egress: a response whose status is not from 100 to 599 is a broken one

What callers saw, on other systems: a response with status 000 as an answer. Here it was not passed on itself (already handled in that form: 502, though of kind "serverLost", as if nothing had come), but its head was skipped as an interim one, and what followed it on the connection was taken for the answer: 200.

Cause: http.ReadResponse takes any three characters that Atoi takes and that are not negative ("000", "+20"), and any version; readHead takes all below 200 for interim. The reply of another VM took 200 to 999 and signs.

Fix: the scanner of responses checks the status line: HTTP/1, three digits, from 100 to 599 (RFC 9110, 15, calls all others invalid and has clients treat them as 5xx; a caller gets 502). Blanks before the status and a missing reason are accepted, as before. What is refused is an invalid response, never "not run". A status that another VM passes on, which may run an earlier build, goes through the same function (head.ParseStatus).

--- a/pkg/backend/head_test.go
+++ b/pkg/backend/head_test.go
@@ -94,6 +94,31 @@
 	})
 }
 
+// TestInvalidStatusesAreBrokenResponses guards against callers that get a response whose status no server may
+// send, and against such a head that is skipped as an interim one, so that what follows it on the connection
+// is taken for the response.
+func TestInvalidStatusesAreBrokenResponses(t *testing.T) {
+	const plain = "Content-Length: 4"
+	for _, first := range []string{
+		"HTTP/1.1 000 Zero", "HTTP/1.1 000", "HTTP/1.1 001 One", "HTTP/1.1 099 Low", "HTTP/1.1 +20 Sign", "HTTP/1.1 600 High", "HTTP/1.1 999 High",
+		"HTTP/1.1 20 Short", "HTTP/1.1 2000 Long", "HTTP/1.1 2x0 Letter", "HTTP/1.1 -20 Sign", "HTTP/1.1", "HTTP/1.1 ", "200 OK",
+		"HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/11 200 OK", "http/1.1 200 OK", "ICY 200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 200\x00OK",
+	} {
+		whole := headText("HTTP/1.1 200 OK", plain) + "body"
+		for name, text := range map[string]string{
+			"with a body":                  headText(first, plain) + "body",
+			"with a body and a second one": headText(first, plain) + "body" + whole,
+			"before a whole response":      headText(first) + whole,
+			"behind an interim response":   "HTTP/1.1 103 Early\r\n\r\n" + headText(first, plain) + "body",
+			"with a refusal":               headText(first, "Content-Length: 0", "Laburnumpick-Refused: shed"),
+			"ends with its connection":     headText(first) + "body",
+			"head that is cut behind it":   first + "\r\nX: a\r\n",
+		} {
+			t.Run(first+" "+name, func(t *testing.T) { checkMalformed(t, text) })
+		}
+	}
+}
+
 // TestOddHeadsAreAccepted guards against whole responses that are refused although RFC 9112 allows them, or
 // tells recipients to accept them.
 func TestOddHeadsAreAccepted(t *testing.T) {
@@ -114,6 +139,7 @@
 		{"empty reason", headText("HTTP/1.1 200 ", plain) + "body", ""},
 		{"bytes above ASCII in the reason", headText("HTTP/1.1 200 \xe9", plain) + "body", ""},
 		{"HTTP/1.0", headText("HTTP/1.0 200 OK", plain) + "body", ""},
+		{"blanks before the status", headText("HTTP/1.1  200 OK", plain) + "body", ""},
 		{"later version of HTTP/1", headText("HTTP/1.2 200 OK", plain) + "body", ""},
 		{"same length twice", headText(ok, plain, plain) + "body", ""},
 		{"same id twice", headText(ok, plain, "Laburnumpick-Request-Id: mine") + "body", ""},
--- a/pkg/egress/message.go
+++ b/pkg/egress/message.go
@@ -191,9 +191,9 @@
 
 // serverHeader returns the status and the headers of the server's response in a reply.
 func serverHeader(reply http.Header) (int, http.Header, error) {
-	status, err := strconv.Atoi(reply.Get(headerStatus))
-	if err != nil || status < http.StatusOK || status > 999 {
-		return 0, nil, fmt.Errorf("the reply has no valid status: %q", reply.Get(headerStatus))
+	status, err := head.ParseStatus(reply.Get(headerStatus)) // A VM of an earlier build passes on any status.
+	if err != nil || status < http.StatusOK {
+		return 0, nil, fmt.Errorf("the reply has no valid status: %.10q", reply.Get(headerStatus))
 	}
 	h := make(http.Header)
 	backend.CopyEndToEnd(h, reply)
--- a/pkg/egress/message_test.go
+++ b/pkg/egress/message_test.go
@@ -75,8 +75,12 @@
 func TestRepliesWithoutAResult(t *testing.T) {
 	assert.Equal(t, resultOf(http.Header{}), Malformed)
 	assert.Equal(t, resultOf(http.Header{headerResult: {"great"}}), Malformed)
-	for _, status := range []string{"", "99", "1000", "ok", "-200"} {
+	for _, status := range []string{"", "99", "1000", "ok", "-200", "000", "099", "100", "199", "600", "999", "+200", "+20", "0200", " 200"} {
 		_, _, err := serverHeader(http.Header{headerStatus: {status}})
-		assert.Assert(t, err != nil, status)
+		assert.Check(t, err != nil, status)
+	}
+	for _, status := range []string{"200", "418", "599"} {
+		_, _, err := serverHeader(http.Header{headerStatus: {status}})
+		assert.Check(t, err, status)
 	}
 }
--- a/pkg/head/rules.go
+++ b/pkg/head/rules.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"net/http"
+	"strconv"
 	"strings"
 )
 
@@ -11,6 +13,9 @@
 	errControlByte = NewError("a header line contains a control character")
 	errFolded      = NewError("a header line is folded")
 	errFieldName   = NewError("a header line has no valid field name")
+	errStatusLine  = NewError("the status line is malformed")
+	errVersion     = NewError("the version of the response is not HTTP/1")
+	errStatus      = NewError("the status code is not a number from 100 to 599")
 
 	errLengthAndCoding = NewError("both Content-Length and Transfer-Encoding are present")
 	errLengths         = NewError("Content-Length is present more than once")
@@ -113,10 +118,31 @@
 	return nil
 }
 
-// checkStatusLine checks the first line of a response.
+// checkStatusLine checks the first line of a response. Blanks before the status and a missing reason are
+// accepted, as RFC 9112 allows.
 func (f *fields) checkStatusLine(line []byte) error {
-	f.http10 = bytes.HasPrefix(line, []byte("HTTP/1.0 "))
-	return nil
+	version, rest, ok := strings.Cut(string(line), " ")
+	if !ok {
+		return errStatusLine
+	}
+	major, minor, ok := http.ParseHTTPVersion(version)
+	if !ok || major != 1 {
+		return errVersion
+	}
+	f.http10 = minor == 0
+	status, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
+	_, err := ParseStatus(status)
+	return err
+}
+
+// ParseStatus parses a status code. RFC 9110 allows three digits, from 100 to 599.
+func ParseStatus(text string) (int, error) {
+	const lowest, highest = 100, 599
+	n, err := strconv.ParseUint(text, 10, 16)
+	if err != nil || len(text) != len("200") || n < lowest || n > highest {
+		return 0, errStatus
+	}
+	return int(n), nil
 }
 
 // IsToken reports whether a text may be the name of a field, or the method of a request.
