store, daemon, fleetapi: responses of the store and messages of VMs need an end of their own

A part of a raw object, or of a message whose encoding is valid wherever it is cut, was taken for the whole. Not seen at callers.

Fix: where all senders give a length or chunks, a response without is refused: a success of the store (its other statuses say enough by themselves, so that a refusal stays "nothing was done"), and every reply of a VM. A head whose length or coding hides behind a blank is refused with it, and what HTTP/1.0 ends with the connection. The test of a response's framing stood in pkg/backend and is head.EndsWithConnection now.

--- a/_scripts/prove.sh
+++ b/_scripts/prove.sh
@@ -48,7 +48,7 @@
 mutant "at-most-once requests retried" dispatch/at_most_once.go 's/if !t\.notRun\(\) \{/if false {/' trial 'TestServerClosesAfterReading|TestAtMostOnceUnderRandomFaults'
 mutant "echoed request id not compared" backend/refusal.go 's/echo != "" \&\&/false \&\&/' backend 'TestInvalidResponses'
 mutant "unexpected bytes ignored" backend/send.go 's/n > 0 \{/n > 1<<30 {/' backend 'TestInvalidResponses'
-mutant "responses of unknown length accepted" backend/send.go 's/resp\.ContentLength < 0 \&\&/false \&\&/' backend 'TestInvalidResponses'
+mutant "responses of unknown length accepted" head/transport.go 's/resp\.ContentLength < 0 \&\&/false \&\&/' backend 'TestInvalidResponses'
 mutant "idle connections not checked before reuse" backend/connpool.go 's/ \&\& c\.isReusable\(\)//' backend 'TestUnexpectedBytesOnIdleConnection'
 mutant "no response timeout on reused connections" backend/send.go 's/x\.responseTimeout = o\.ReusedConnTimeout/x.responseTimeout = 0/' backend 'TestDeadReusedConnection'
 mutant "refusals of draining servers ignored" pool/report.go 's/case Drain:/case "never":/' trial 'TestLeavingServers'
--- a/pkg/backend/send.go
+++ b/pkg/backend/send.go
@@ -205,35 +205,31 @@
 	if x.onHead != nil {
 		x.onHead(resp.StatusCode, resp.Header)
 	}
-	if isUnframed(resp) && writeErr != nil {
+	endsWithConn := head.EndsWithConnection(resp)
+	if endsWithConn && writeErr != nil {
 		return nil, x.newError(InvalidResponse, fmt.Errorf("%w: %w", errEndUnknown, writeErr))
 	}
 	leaves, _ := x.contract.Leaving(resp.Header) // The receiver of onHead logs an invalid value.
-	x.reusable = x.conn.allowsReuse(x.contract, req, resp) && !resp.Close && !isUnframed(resp) && !leaves && writeErr == nil
+	x.reusable = x.conn.allowsReuse(x.contract, req, resp) && !resp.Close && !endsWithConn && !leaves && writeErr == nil
 	x.conn.updateIdleTimeout(resp.Header)
 	out, err := x.readBody(resp, maxBuffered)
 	if err != nil {
 		return nil, err
 	}
-	out.CloseDelimited = isUnframed(resp)
+	out.CloseDelimited = endsWithConn
 	return out, nil
 }
 
 // errEndUnknown means that a response ends with its connection, which did not end in order.
 var errEndUnknown = errors.New("the body ends with the connection, which failed while the request was written")
 
-// isUnframed reports whether a response's body ends with its connection.
-func isUnframed(resp *http.Response) bool {
-	return resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // checkHead returns an error if the head of a response cannot be that of the request's.
 func (x *exchange) checkHead(req *Request, resp *http.Response) error {
 	if err := x.checkEcho(req, resp); err != nil {
 		return err
 	}
-	if isUnframed(resp) && !x.contract.AllowCloseDelimited {
-		return errors.New("the response has neither a length nor chunked encoding")
+	if head.EndsWithConnection(resp) && !x.contract.AllowCloseDelimited {
+		return head.ErrEndsWithConnection
 	}
 	return x.contract.check(resp)
 }
--- a/pkg/daemon/transport.go
+++ b/pkg/daemon/transport.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"laburnumpick.org/pkg/fleet"
+	"laburnumpick.org/pkg/head"
 	"laburnumpick.org/pkg/settings"
 	"laburnumpick.org/pkg/store"
 )
@@ -58,6 +59,6 @@
 
 // vmClient returns the client of calls to other VMs.
 func (d *Daemon) vmClient(nw Network) *http.Client {
-	t := boundedTransport{nw.peer().Transport(d.transport(nw)), maxVMMessageBytes}
+	t := boundedTransport{head.Transport{Next: nw.peer().Transport(d.transport(nw))}, maxVMMessageBytes}
 	return &http.Client{Transport: fleet.HeaderStripper{Next: t}}
 }
--- a/pkg/fleetapi/client.go
+++ b/pkg/fleetapi/client.go
@@ -1,6 +1,10 @@
 package fleetapi
 
-import "net/http"
+import (
+	"net/http"
+
+	"laburnumpick.org/pkg/head"
+)
 
 // HeaderToken is the header with the fleet's token, which proves that the caller is
 // a VM of the fleet.
@@ -10,7 +14,7 @@
 // form host:port. It authenticates each call with the operator's token.
 func NewOperatorClient(address, token string, hc *http.Client) Operator {
 	withToken := *hc
-	withToken.Transport = &bearerTransport{token, hc.Transport}
+	withToken.Transport = head.Transport{Next: &bearerTransport{token, hc.Transport}}
 	return NewOperatorProtobufClient("http://"+address, &withToken)
 }
 
--- a/pkg/store/call.go
+++ b/pkg/store/call.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"laburnumpick.org/pkg/head"
 )
 
 // Call is one HTTP request to the platform's API.
@@ -67,14 +69,17 @@
 	return io.NopCloser(bytes.NewReader(c.Body))
 }
 
-// roundTrip sends the request and reads the whole response, which must not be longer than
-// maxBytes.
+// roundTrip sends the request and reads the whole response, which must not be longer than maxBytes. Of a
+// success the end of the body must be certain; the other statuses say enough by themselves.
 func roundTrip(hc *http.Client, req *http.Request, maxBytes int64) (Response, error) {
 	resp, err := hc.Do(req)
 	if err != nil {
 		return Response{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode/100 == 2 && head.EndsWithConnection(resp) {
+		return Response{}, head.ErrEndsWithConnection
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxBytes))
 	if err != nil {
 		return Response{}, err
