caller, socket: a response that breaks off ends with a reset where the connection's end is that of the body

What callers saw: a caller of HTTP/1.0 got a part of a large response of unknown length as the whole, when the server broke off, another VM was lost, or a stop of the VM ran out of time.

Cause: the VM ended such a connection with a close in order, which is how such a body ends.

Fix: the connection is reset (linger time 0) while a response is being written that ends with it. Only then: a reset discards what is under way, such as earlier responses on a connection of HTTP/1.1.

--- a/pkg/caller/conn.go
+++ b/pkg/caller/conn.go
@@ -17,6 +17,7 @@
 	"laburnumpick.org/pkg/buffer"
 	"laburnumpick.org/pkg/head"
 	"laburnumpick.org/pkg/outcome"
+	"laburnumpick.org/pkg/socket"
 )
 
 // Sizes and times of a connection.
@@ -47,6 +48,7 @@
 	idleSince     time.Time   // When it was accepted or the last queue of requests was answered.
 	closedIdle    bool        // It is closing only since it was idle; a request that had arrived by then is accepted.
 	broken        bool        // A response was truncated.
+	endsBody      bool        // A response is being written whose body ends with the connection.
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -188,8 +190,9 @@
 	c.queue = slices.DeleteFunc(c.queue, func(o *exchange) bool { return o == x })
 	if !complete {
 		c.broken = true
-		_ = c.nc.Close() // The caller must be able to see that the response is truncated.
+		c.breakOff()
 	}
+	c.endsBody = false
 	if first && len(c.queue) > 0 {
 		close(c.queue[0].atHead)
 	}
@@ -200,6 +203,22 @@
 	c.exchangeEnded.Broadcast()
 }
 
+// breakOff closes the connection, in the middle of a response or not. Where the end of the connection is that of
+// the body, only a reset tells a truncated response. The caller must hold c.mu.
+func (c *conn) breakOff() {
+	if c.endsBody {
+		socket.ResetAtClose(c.nc)
+	}
+	_ = c.nc.Close()
+}
+
+// stop ends the connection, whatever is unanswered.
+func (c *conn) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.breakOff()
+}
+
 // refuse writes the error response to input that is not a valid request, after the
 // responses to all requests accepted before.
 func (c *conn) refuse(err error) {
--- a/pkg/caller/exchange.go
+++ b/pkg/caller/exchange.go
@@ -161,15 +161,16 @@
 	unframed := x.remaining < 0 && !x.chunked && !x.bodiless()
 	x.closeAfter = x.conn.closesAfter(x) || unframed || x.header.Get("Connection") == "close"
 	if x.closeAfter {
-		x.conn.stopReading()
+		x.conn.stopReading(unframed)
 	}
 }
 
-// stopReading makes the connection accept no further request.
-func (c *conn) stopReading() {
+// stopReading makes the connection accept no further request. endsBody means that the end of the
+// connection is that of a response's body.
+func (c *conn) stopReading(endsBody bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = true
+	c.closing, c.endsBody = true, endsBody
 }
 
 func (x *exchange) writeHead() error {
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -132,7 +132,7 @@
 		s.cancel()
 		s.mu.Lock()
 		for c := range s.conns {
-			_ = c.nc.Close()
+			c.stop()
 		}
 		s.mu.Unlock()
 		return ctx.Err()
