--- a/pkg/backend/head_test.go
+++ b/pkg/backend/head_test.go
@@ -103,6 +103,7 @@
 		"HTTP/1.1 000 Zero", "HTTP/1.1 000", "HTTP/1.1 001 One", "HTTP/1.1 099 Low", "HTTP/1.1 +20 Sign", "HTTP/1.1 600 High", "HTTP/1.1 999 High",
 		"HTTP/1.1 20 Short", "HTTP/1.1 2000 Long", "HTTP/1.1 2x0 Letter", "HTTP/1.1 -20 Sign", "HTTP/1.1", "HTTP/1.1 ", "200 OK",
 		"HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/11 200 OK", "http/1.1 200 OK", "ICY 200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 200\x00OK",
+		"HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 O\x7fK",
 	} {
 		whole := headText("HTTP/1.1 200 OK", plain) + "body"
 		for name, text := range map[string]string{
