head, backend: fields are compared without copies; a large head leaves no large buffer behind

The scanner copied the name and the value of each field, now also of responses, which are on the path of each request; it compares the bytes.

--- a/_scripts/prove.sh
+++ b/_scripts/prove.sh
@@ -219,7 +219,7 @@
 mutant "any status accepted" head/rules.go 's/ \|\| n < lowest \|\| n > highest//' backend 'TestInvalidStatuses'
 mutant "any status of another VM passed on" egress/message.go 's/head\.ParseStatus\(/strconv.Atoi(/' egress 'TestRepliesWithoutAResult'
 mutant "any version accepted" head/rules.go 's/major != 1/major < 0/' backend 'TestInvalidStatuses'
-mutant "names of fields not checked" head/scanner.go 's/!ok \|\| !IsToken\(string\(name\)\)/!ok/' backend 'TestMalformedHeads'
+mutant "names of fields not checked" head/scanner.go 's/!ok \|\| !IsToken\(name\)/!ok/' backend 'TestMalformedHeads'
 mutant "control characters accepted" head/scanner.go 's/case !isText\(line\):/case false:/' backend 'TestMalformedHeads|TestInvalidStatuses'
 mutant "responses with a length and a coding accepted" head/rules.go 's/checkFraming: \(\*fields\)\.checkResponse,/checkFraming: func(*fields) error { return nil },/' backend 'TestMalformedHeads'
 mutant "folded fields refused" head/rules.go 's/bareLF: true, folded: true/bareLF: true/' backend 'TestOddHeads'
--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -34,11 +34,21 @@
 
 func newConn(nc net.Conn) *conn {
 	c := &conn{nc: nc, idleTimeout: maxIdleTime}
-	c.r = bufio.NewReaderSize(limitedReader{c}, bufferSize)
+	c.resetReader()
 	c.w = bufio.NewWriterSize(countingWriter{c}, bufferSize)
 	return c
 }
 
+// resetReader gives the connection an empty read buffer of the usual size.
+func (c *conn) resetReader() { c.r = bufio.NewReaderSize(limitedReader{c}, bufferSize) }
+
+// shrink drops a read buffer that a large head has made grow. The buffer must be empty.
+func (c *conn) shrink() {
+	if c.r.Size() > bufferSize {
+		c.resetReader()
+	}
+}
+
 // countingWriter counts the bytes that are written to the socket. A request of
 // which no byte was written cannot have run.
 type countingWriter struct{ c *conn }
--- a/pkg/backend/send.go
+++ b/pkg/backend/send.go
@@ -365,6 +365,7 @@
 func (x *exchange) release(keep bool) {
 	inTime := x.stopCancel()
 	if keep && inTime {
+		x.conn.shrink() // Nothing is buffered, or the connection would not be kept.
 		x.pool.put(time.Now(), x.conn)
 		return
 	}
--- a/pkg/head/rules.go
+++ b/pkg/head/rules.go
@@ -75,16 +75,23 @@
 	chunked, http10         bool
 }
 
+// Names of the fields that frame a message.
+var (
+	nameLength = []byte("Content-Length")
+	nameCoding = []byte("Transfer-Encoding")
+	nameHost   = []byte("Host")
+)
+
 // add records a field.
-func (f *fields) add(name, value string) {
+func (f *fields) add(name, value []byte) {
 	f.count++
-	switch strings.ToLower(name) {
-	case "content-length":
+	switch {
+	case bytes.EqualFold(name, nameLength):
 		f.lengths++
-	case "transfer-encoding":
+	case bytes.EqualFold(name, nameCoding):
 		f.codings++
-		f.chunked = strings.EqualFold(strings.TrimSpace(value), "chunked")
-	case "host":
+		f.chunked = bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked"))
+	case bytes.EqualFold(name, nameHost):
 		f.hosts++
 	}
 }
@@ -145,11 +152,17 @@
 	return int(n), nil
 }
 
+// delimiters are the visible ASCII characters that no token holds.
+const delimiters = `()<>@,;:\"/[]?={}`
+
 // IsToken reports whether a text may be the name of a field, or the method of a request.
-func IsToken(text string) bool {
-	return text != "" && !strings.ContainsFunc(text, func(r rune) bool {
-		return r <= ' ' || r >= 0x7f || strings.ContainsRune(`()<>@,;:\"/[]?={}`, r)
-	})
+func IsToken[T ~string | ~[]byte](text T) bool {
+	for i := range len(text) {
+		if c := text[i]; c <= ' ' || c >= 0x7f || strings.IndexByte(delimiters, c) >= 0 {
+			return false
+		}
+	}
+	return len(text) > 0
 }
 
 // isText reports whether a line holds no control character but tabs.
--- a/pkg/head/scanner.go
+++ b/pkg/head/scanner.go
@@ -31,7 +31,7 @@
 
 // Scanner checks the raw bytes of one head, or of the trailer section of one body, as they arrive.
 type Scanner struct {
-	rules   rules
+	rules   *rules
 	begun   bool // The first line has been checked.
 	next    int  // Offset of the first line that has not been checked.
 	scanned int  // Up to here there is no further line end.
@@ -39,13 +39,13 @@
 }
 
 // NewRequest returns a scanner of the head of a request.
-func NewRequest() *Scanner { return &Scanner{rules: requestRules} }
+func NewRequest() *Scanner { return &Scanner{rules: &requestRules} }
 
 // NewResponse returns a scanner of the head of a response, interim or final.
-func NewResponse() *Scanner { return &Scanner{rules: responseRules} }
+func NewResponse() *Scanner { return &Scanner{rules: &responseRules} }
 
 // NewTrailer returns a scanner of the trailer section of a response in chunks.
-func NewTrailer() *Scanner { return &Scanner{rules: trailerRules, begun: true} }
+func NewTrailer() *Scanner { return &Scanner{rules: &trailerRules, begun: true} }
 
 // Len returns how many bytes have been checked: all of the head, once it is complete.
 func (s *Scanner) Len() int { return s.next }
@@ -87,16 +87,19 @@
 	return false, s.rules.checkStart(&s.fields, line)
 }
 
+// colon ends the name of a field.
+var colon = []byte(":")
+
 // addField checks a line of the fields.
 func (s *Scanner) addField(line []byte) error {
 	if line[0] == ' ' || line[0] == '\t' {
 		return s.checkFold()
 	}
-	name, value, ok := bytes.Cut(line, []byte(":"))
-	if !ok || !IsToken(string(name)) {
+	name, value, ok := bytes.Cut(line, colon)
+	if !ok || !IsToken(name) {
 		return errFieldName
 	}
-	s.fields.add(string(name), string(value))
+	s.fields.add(name, value)
 	return nil
 }
 
