--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -67,7 +67,7 @@
 const maxHeadBytes = 64 << 10
 
 // errHeadTooLarge means that a response has no complete head within maxHeadBytes.
-var errHeadTooLarge = fmt.Errorf("%w: the response has more than %d bytes", head.ErrTooLarge, maxHeadBytes)
+var errHeadTooLarge = fmt.Errorf("%w: more than %d bytes", head.ErrTooLarge, maxHeadBytes)
 
 // limitedReader reads from the socket, and returns errHeadTooLarge after the bytes that are
 // allowed.
--- a/pkg/backend/reset_test.go
+++ b/pkg/backend/reset_test.go
@@ -1,7 +1,6 @@
 package backend_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -14,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"laburnumpick.org/pkg/backend"
+	"laburnumpick.org/pkg/standin"
 )
 
 // uploadSize is the size of a request's body that no kernel buffers whole, in bytes.
@@ -22,34 +22,18 @@
 // closeDelimitedHead is the head of a response whose body ends with its connection.
 const closeDelimitedHead = "HTTP/1.1 200 OK\r\nLaburnumpick-Request-Id: mine\r\n\r\n"
 
-// withSocketPeer runs a test against a server on loopback that handles each connection with serve, once
-// it has read the head of a request. A kernel reports the reset of a connection once, to whoever asks
-// first, and discards what the peer has not taken.
-func withSocketPeer(t *testing.T, serve func(nc *net.TCPConn, r *http.Request), test func(pool *backend.ConnPool)) {
+// withSocketPeer runs a test against a server on loopback. A kernel reports the reset of a connection once, to
+// whoever asks first.
+func withSocketPeer(t *testing.T, handle func(nc *net.TCPConn, r *http.Request), test func(pool *backend.ConnPool)) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	srv, err := standin.NewRawServer(handle)
 	assert.NilError(t, err)
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			if r, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
-				serve(nc.(*net.TCPConn), r)
-			}
-			_ = nc.Close()
-		}
-	}()
-	pool := backend.NewConnPool(ln.Addr().String(), func(ctx context.Context, address string) (net.Conn, error) {
+	pool := backend.NewConnPool(srv.Address(), func(ctx context.Context, address string) (net.Conn, error) {
 		return new(net.Dialer).DialContext(ctx, "tcp", address)
 	})
 	test(pool)
 	pool.CloseIdle()
-	assert.NilError(t, ln.Close())
-	<-ended
+	assert.NilError(t, srv.Close())
 }
 
 // socketContract is the contract of servers whose responses may end with their connection.
--- a/pkg/standin/conn.go
+++ b/pkg/standin/conn.go
@@ -96,13 +96,6 @@
 	return n, err
 }
 
-// reset resets the connection.
-func (c *Conn) reset() {
-	c.resetReport.add()
-	c.in.reset()
-	c.out.reset()
-}
-
 // Write implements net.Conn. It reports dropped data as written, as a kernel does
 // that buffers it.
 func (c *Conn) Write(p []byte) (int, error) {
--- a/pkg/standin/network.go
+++ b/pkg/standin/network.go
@@ -120,7 +120,11 @@
 	}
 	n.mu.Unlock()
 	for _, c := range cs {
-		c.reset()
+		c.resetReport.add() // Before either end can notice.
+	}
+	for _, c := range cs {
+		c.in.reset()
+		c.out.reset()
 	}
 }
 
--- a/pkg/store/framing_test.go
+++ b/pkg/store/framing_test.go
@@ -1,7 +1,6 @@
 package store_test
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -10,32 +9,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"laburnumpick.org/pkg/standin"
 	"laburnumpick.org/pkg/store"
 )
 
-// serveRaw starts a server on loopback that gives each request the same bytes and closes the connection,
-// and returns its URL.
-func serveRaw(t *testing.T, response string) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			if r, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(nc, response)
-			}
-			_ = nc.Close()
-		}
-	}()
-	return "http://" + ln.Addr().String()
-}
-
 // TestResponsesOfTheStoreHaveAnEnd guards against a part of a row or an object that is taken for the whole: a
 // response without a length or chunks ends wherever its connection does.
 func TestResponsesOfTheStoreHaveAnEnd(t *testing.T) {
@@ -55,9 +32,15 @@
 		"cut before the whole body": {ok + "Content-Length: 5\r\n\r\n{}", "unavailable", "unknown"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			url := serveRaw(t, c.response)
+			srv, err := standin.NewRawServer(func(nc *net.TCPConn, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(nc, c.response)
+			})
+			assert.NilError(t, err)
+			defer func() { assert.NilError(t, srv.Close()) }()
+			url := "http://" + srv.Address()
 			hc := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-			_, err := store.Call{Method: http.MethodGet, URL: url}.Do(context.Background(), hc)
+			_, err = store.Call{Method: http.MethodGet, URL: url}.Do(context.Background(), hc)
 			assertClass(t, err, c.read)
 			_, err = store.Call{Method: http.MethodPut, URL: url, Body: []byte("value"), Write: true}.Do(context.Background(), hc)
 			assertClass(t, err, c.write)
