--- a/pkg/daemon/transport_test.go
+++ b/pkg/daemon/transport_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -11,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"laburnumpick.org/pkg/fleetapi"
+	"laburnumpick.org/pkg/standin"
 )
 
 // TestMessagesBetweenVMsHaveAnEnd guards against a part of a message of another VM that is taken for the
@@ -28,9 +28,15 @@
 		"length that is not seen":  {headText + "Content-Length : 40\r\n\r\n", false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			nw := Network{Dial: func(context.Context, string) (net.Conn, error) { return respondOnce(c.response), nil }}
+			srv, err := standin.NewRawServer(func(nc *net.TCPConn, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(nc, c.response)
+			})
+			assert.NilError(t, err)
+			defer func() { assert.NilError(t, srv.Close()) }()
+			nw := Network{Dial: func(context.Context, string) (net.Conn, error) { return net.Dial("tcp", srv.Address()) }}
 			hc := new(Daemon).vmClient(nw)
-			_, err := fleetapi.NewFleetProtobufClient("http://vm", hc).Changes(context.Background(), &fleetapi.ChangesRequest{})
+			_, err = fleetapi.NewFleetProtobufClient("http://vm", hc).Changes(context.Background(), &fleetapi.ChangesRequest{})
 			assert.Equal(t, err == nil, c.whole, "%v", err)
 			operator := &http.Client{Transport: NewTransport(nw)}
 			_, err = fleetapi.NewOperatorClient("vm", "token", operator).Believe(context.Background(), &fleetapi.BelieveRequest{})
@@ -38,16 +44,3 @@
 		})
 	}
 }
-
-// respondOnce returns a connection to a server that gives one request the bytes and closes it.
-func respondOnce(response string) net.Conn {
-	near, far := net.Pipe()
-	go func() {
-		defer func() { _ = far.Close() }()
-		if r, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
-			_, _ = io.Copy(io.Discard, r.Body)
-			_, _ = io.WriteString(far, response)
-		}
-	}()
-	return near
-}
