--- a/pkg/daemon/transport_test.go
+++ b/pkg/daemon/transport_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -28,10 +27,7 @@
 		"length that is not seen":  {headText + "Content-Length : 40\r\n\r\n", false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			srv, err := standin.NewRawServer(func(nc *net.TCPConn, r *http.Request) {
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(nc, c.response)
-			})
+			srv, err := standin.NewRawServer(standin.RespondRaw(c.response))
 			assert.NilError(t, err)
 			defer func() { assert.NilError(t, srv.Close()) }()
 			nw := Network{Dial: func(context.Context, string) (net.Conn, error) { return net.Dial("tcp", srv.Address()) }}
--- a/pkg/standin/raw.go
+++ b/pkg/standin/raw.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -43,6 +44,14 @@
 	}
 }
 
+// RespondRaw returns a handler of a RawServer that reads a request to its end and responds with the given bytes.
+func RespondRaw(response string) func(nc *net.TCPConn, r *http.Request) {
+	return func(nc *net.TCPConn, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(nc, response) // Fails only if the peer has gone.
+	}
+}
+
 // Address returns the address on which the server listens.
 func (s *RawServer) Address() string { return s.ln.Addr().String() }
 
--- a/pkg/store/framing_test.go
+++ b/pkg/store/framing_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -32,10 +30,7 @@
 		"cut before the whole body": {ok + "Content-Length: 5\r\n\r\n{}", "unavailable", "unknown"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			srv, err := standin.NewRawServer(func(nc *net.TCPConn, r *http.Request) {
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(nc, c.response)
-			})
+			srv, err := standin.NewRawServer(standin.RespondRaw(c.response))
 			assert.NilError(t, err)
 			defer func() { assert.NilError(t, srv.Close()) }()
 			url := "http://" + srv.Address()
