--- a/review/tool-3/client.go
+++ b/review/tool-3/client.go
@@ -70,6 +70,9 @@
 	return r
 }
 
+// readFrom reads an answer from a connection.
+func (r *result) readFrom(c net.Conn, method string) { r.read(bufio.NewReader(c), method) }
+
 // read reads an answer.
 func (r *result) read(in *bufio.Reader, method string) {
 	resp, err := http.ReadResponse(in, &http.Request{Method: method})
--- a/review/tool-3/env.go
+++ b/review/tool-3/env.go
@@ -73,7 +73,7 @@
 }
 
 func (e *env) add(u *upstream, r *http.Request, id, body string, outcome string, at time.Time) *arrival {
-	a := &arrival{env: e, id: id, upstream: u.id, service: u.service, target: r.RequestURI, body: body, outcome: outcome, at: at, header: r.Header.Clone()}
+	a := &arrival{env: e, id: id, upstream: u.id, service: u.service, target: r.RequestURI, body: strings.Clone(body[:min(len(body), keptBody)]), outcome: outcome, at: at, header: r.Header.Clone()}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.arrivals = append(e.arrivals, a)
@@ -81,6 +81,9 @@
 	return a
 }
 
+// keptBody is how much of a body is kept, in bytes.
+const keptBody = 64
+
 // seen records a request that an upstream did not run.
 func (e *env) seen(u *upstream, r *http.Request, id, body string, outcome string) {
 	e.add(u, r, id, body, outcome, time.Now())
--- a/review/tool-3/upstream.go
+++ b/review/tool-3/upstream.go
@@ -20,10 +20,12 @@
 	onRun             func(u *upstream, r *http.Request, body string) // Called when a request begins to run. May be nil.
 	headers           func(h http.Header)                             // Adds to the head of each answer. May be nil.
 	respond           func(w http.ResponseWriter, r *http.Request, id string)
+	wrap              func(address string) (string, error) // Returns the address to register instead. May be nil.
 
 	env    *env
 	nl     net.Listener
 	srv    *http.Server
+	listed string // The address in the entry.
 	born   int64
 	cancel context.CancelFunc
 
@@ -49,6 +51,14 @@
 
 func (u *upstream) startOn(l net.Listener) error {
 	u.nl, u.born, u.state = l, time.Now().UnixMilli(), "ready"
+	u.listed = l.Addr().String()
+	if u.wrap != nil {
+		listed, err := u.wrap(u.listed)
+		if err != nil {
+			return err
+		}
+		u.listed = listed
+	}
 	u.free = sync.NewCond(&u.mu)
 	u.accepted = make(map[net.Conn]bool)
 	if u.queue == 0 {
@@ -87,13 +97,11 @@
 	}
 }
 
-func (u *upstream) address() string { return u.nl.Addr().String() }
-
 func (u *upstream) beat() {
 	u.mu.Lock()
 	u.seq++
 	entry := map[string]any{
-		"address": u.address(), "born": u.born,
+		"address": u.listed, "born": u.born,
 		"info":   map[string]any{"service": u.service, "version": "v1", "zone": u.zone, "slots": u.slots},
 		"status": map[string]any{"state": u.state, "seq": u.seq, "cold_left": "0ms"},
 	}
