--- a/review/tool-3/proxy.go
+++ b/review/tool-3/proxy.go
@@ -115,7 +115,7 @@
 
 // owner returns the VM that has opened a connection, as the kernel's tables tell it.
 func (p *proxy) owner(c net.Conn) *vm {
-	inode := socketInode(c.RemoteAddr().(*net.TCPAddr).Port)
+	inode := socketInode(c.RemoteAddr().(*net.TCPAddr).Port, c.LocalAddr().(*net.TCPAddr).Port)
 	for _, v := range p.all {
 		dir := fmt.Sprintf("/proc/%d/fd", v.cmd.Process.Pid)
 		entries, _ := os.ReadDir(dir)
@@ -128,16 +128,16 @@
 	return nil
 }
 
-// socketInode returns the inode of the socket that is connected from a port on loopback.
-func socketInode(port int) string {
+// socketInode returns the inode of the socket that is connected on loopback from one port to another.
+func socketInode(from, to int) string {
 	f, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return ""
 	}
 	defer f.Close()
-	suffix := fmt.Sprintf(":%04X", port)
+	local, remote := fmt.Sprintf(":%04X", from), fmt.Sprintf(":%04X", to)
 	for in := bufio.NewScanner(f); in.Scan(); {
-		if columns := strings.Fields(in.Text()); len(columns) > 9 && strings.HasSuffix(columns[1], suffix) {
+		if columns := strings.Fields(in.Text()); len(columns) > 9 && strings.HasSuffix(columns[1], local) && strings.HasSuffix(columns[2], remote) {
 			return columns[9]
 		}
 	}
